--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -5,6 +5,7 @@
 
 use crate::config::Config;
 use crate::discovery::{Discovery, Health, List};
+use crate::log::{self, End, Log, Tried};
 use crate::upstream::{Ended, Progress, Upstream};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -59,6 +60,10 @@
     pub method: Method,
     /// Its path and query.
     pub uri: Uri,
+    /// The application's name for it.
+    pub name: String,
+    /// When it had come whole.
+    pub came: Instant,
     /// The headers that go on.
     pub headers: HeaderMap,
     /// Its body.
@@ -93,6 +98,8 @@
     parts: Rc<Arrival>,
     sends: u32,
     timed_out: bool,
+    /// Attempts that served nothing, for the log.
+    tried: Vec<Tried>,
 }
 
 struct State {
@@ -109,6 +116,7 @@
     up: HashSet<ServerId>,
     seq: u64,
     discovery: Discovery,
+    log: Log,
 }
 
 /// Drives the balancer.
@@ -151,6 +159,7 @@
             up: HashSet::new(),
             seq: config.known.seq,
             discovery: Discovery::new(config.discovery),
+            log: Log::new(clock.origin),
         };
         let driver = Rc::new(Driver {
             clock,
@@ -193,7 +202,9 @@
                 repeat: arrival.repeat,
                 time_left: self.clock.at(arrival.deadline).since(self.clock.now()),
             };
-            state.open.insert(id, Open { answer, parts: Rc::new(arrival), sends: 0, timed_out: false });
+            state.log.arrived();
+            let parts = Rc::new(arrival);
+            state.open.insert(id, Open { answer, parts, sends: 0, timed_out: false, tried: Vec::new() });
             state.queue.push_back(Event::Request(request));
             id
         };
@@ -208,6 +219,7 @@
             let mut state = self.state.borrow_mut();
             let Some(open) = state.open.remove(&id) else { return };
             state.stop_unwritten(id, open.sends);
+            state.note(&open, End::Gone, &self.names);
             state.queue.push_back(Event::ClientGone { request: id });
         }
         self.pump();
@@ -251,11 +263,20 @@
             self.pump();
             if Instant::now() >= sweep {
                 self.upstream.sweep();
+                self.write_counts();
                 sweep = Instant::now() + SWEEP;
             }
         }
     }
 
+    /// Writes the counts of the last seconds when they are due, with what the balancer makes of its servers.
+    fn write_counts(&self) {
+        let mut state = self.state.borrow_mut();
+        if let Some(counts) = state.log.counts(Instant::now()) {
+            eprintln!("{counts}; connections {}; {}", self.upstream.held(), state.balancer.summary());
+        }
+    }
+
     /// Handles what is queued, and what that brings.
     fn pump(self: &Rc<Self>) {
         let mut state = self.state.borrow_mut();
@@ -277,11 +298,13 @@
                     progress.call_off();
                 }
             }
-            Action::Refuse { request, retry_after } => state.answer(request, Answer::Refused(retry_after)),
+            Action::Refuse { request, retry_after } => {
+                state.answer(request, Answer::Refused(retry_after), &self.names);
+            }
             Action::Fail { request } => {
                 let late = state.open.get(&request).is_some_and(|open| open.timed_out);
                 let status = if late { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY };
-                state.answer(request, Answer::Failed(status));
+                state.answer(request, Answer::Failed(status), &self.names);
             }
             Action::SetTimer { at, timer } => {
                 let first = state.timers.peek().is_none_or(|Reverse((next, _))| at < *next);
@@ -315,20 +338,24 @@
         let driver = self.clone();
         tokio::task::spawn_local(async move {
             let ended = driver.upstream.attempt(server, outgoing, until, &progress).await;
-            driver.ended((request, attempt), ended, sent);
+            driver.ended((request, attempt), server, ended, sent);
         });
     }
 
     /// An attempt is over: the first that is served answers its request.
-    fn ended(self: &Rc<Self>, key: (RequestId, u32), ended: Ended, sent: Instant) {
+    fn ended(self: &Rc<Self>, key: (RequestId, u32), server: ServerId, ended: Ended, sent: Instant) {
         let elapsed = Span(sent.elapsed().as_micros() as u64);
         {
             let mut state = self.state.borrow_mut();
             state.attempts.remove(&key);
+            state.log.attempt(ended.outcome);
             if let Some((kind, body)) = ended.answer {
-                state.answer(key.0, Answer::Served(kind, body));
+                state.answer(key.0, Answer::Served(kind, body), &self.names);
             }
+            let state = &mut *state;
             if let Some(open) = state.open.get_mut(&key.0) {
+                let server = state.names.get(&server).cloned().unwrap_or_default();
+                open.tried.push(Tried { server, outcome: ended.outcome, took: elapsed });
                 open.timed_out = ended.outcome == Outcome::TimedOut;
             }
             let closed = !state.open.contains_key(&key.0);
@@ -395,13 +422,43 @@
 
 impl State {
     /// Gives a request its final answer. What of it has not been written to a backend stays unwritten.
-    fn answer(&mut self, id: RequestId, answer: Answer) {
+    fn answer(&mut self, id: RequestId, answer: Answer, names: &Names) {
         let Some(open) = self.open.remove(&id) else { return };
         self.stop_unwritten(id, open.sends);
+        let end = match &answer {
+            Answer::Served(..) => End::Served,
+            Answer::Refused(_) => End::Refused,
+            Answer::Failed(_) => End::Failed,
+        };
+        self.note(&open, end, names);
         // A client that left at this very moment hears nothing.
         let _ = open.answer.send(answer);
     }
 
+    /// Counts the end of a request, and logs a bad one under the application's name for it.
+    fn note(&mut self, open: &Open, end: End, names: &Names) {
+        let now = Instant::now();
+        if !self.log.ended(end, open.sends, now) {
+            return;
+        }
+        let how = match end {
+            End::Served => "served",
+            End::Refused => "refused",
+            End::Failed => "failed",
+            End::Gone => "gone",
+        };
+        let (parts, ms) = (&open.parts, |time: Duration| time.as_secs_f64() * 1e3);
+        eprintln!(
+            "request {:.64} {} {how} after {:.1} of {:.1} ms, sent {}:{}",
+            parts.name,
+            names.classes.get(parts.class.0).map_or("", String::as_str),
+            ms(now.saturating_duration_since(parts.came)),
+            ms(parts.deadline.saturating_duration_since(parts.came)),
+            open.sends,
+            log::attempts(&open.tried),
+        );
+    }
+
     fn stop_unwritten(&self, id: RequestId, sends: u32) {
         for attempt in 0..sends {
             if let Some(progress) = self.attempts.get(&(id, attempt)).filter(|p| !p.may_have_run()) {
--- /dev/null
+++ b/agent/src/log.rs
@@ -0,0 +1,171 @@
+//! What the agent writes of its service: a line for a request that ended badly, and a count of everything
+//! every few seconds. Both are bounded, so that a bad day cannot drown the log or the core in them.
+
+use micasail::{Outcome, Span};
+use std::fmt::{self, Write};
+use tokio::time::{Duration, Instant};
+
+/// Lines on single requests within a second; the rest are only counted.
+const LINES_MOST: u32 = 20;
+/// How often the counts are written.
+const PERIOD: Duration = Duration::from_secs(5);
+const OUTCOMES: usize = 8;
+
+/// An attempt that served nothing, kept while its request is open.
+pub struct Tried {
+    /// The server's name in the list.
+    pub server: String,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// How long it was out, connecting included.
+    pub took: Span,
+}
+
+/// How a request ended.
+#[derive(Clone, Copy)]
+pub enum End {
+    /// With a backend's answer.
+    Served,
+    /// Refused.
+    Refused,
+    /// Failed.
+    Failed,
+    /// The client left, or its time ran out undecided.
+    Gone,
+}
+
+/// The counts since the last line, and the room for lines in the present second.
+pub struct Log {
+    since: Instant,
+    second: Instant,
+    lines: u32,
+    unwritten: u64,
+    arrived: u64,
+    served: u64,
+    refused_unsent: u64,
+    refused_tried: u64,
+    failed: u64,
+    gone: u64,
+    outcomes: [u64; OUTCOMES],
+}
+
+impl Log {
+    /// Has counted nothing yet.
+    pub fn new(now: Instant) -> Self {
+        Log {
+            since: now,
+            second: now,
+            lines: 0,
+            unwritten: 0,
+            arrived: 0,
+            served: 0,
+            refused_unsent: 0,
+            refused_tried: 0,
+            failed: 0,
+            gone: 0,
+            outcomes: [0; OUTCOMES],
+        }
+    }
+
+    /// A request has come.
+    pub fn arrived(&mut self) {
+        self.arrived += 1;
+    }
+
+    /// An attempt has ended.
+    pub fn attempt(&mut self, outcome: Outcome) {
+        self.outcomes[outcome as usize % OUTCOMES] += 1;
+    }
+
+    /// A request has ended after `sends` attempts; whether its end is worth a line of its own.
+    pub fn ended(&mut self, end: End, sends: u32, now: Instant) -> bool {
+        let count = match end {
+            End::Served => &mut self.served,
+            End::Refused if sends == 0 => &mut self.refused_unsent,
+            End::Refused => &mut self.refused_tried,
+            End::Failed => &mut self.failed,
+            End::Gone => &mut self.gone,
+        };
+        *count += 1;
+        if matches!(end, End::Served) {
+            return false;
+        }
+        if now.saturating_duration_since(self.second) >= Duration::from_secs(1) {
+            (self.second, self.lines) = (now, 0);
+        }
+        self.lines += 1;
+        if self.lines > LINES_MOST {
+            self.unwritten += 1;
+        }
+        self.lines <= LINES_MOST
+    }
+
+    /// The counts as one line, once it is time for them and there is something to tell.
+    pub fn counts(&mut self, now: Instant) -> Option<String> {
+        if now.saturating_duration_since(self.since) < PERIOD {
+            return None;
+        }
+        let counted = std::mem::replace(self, Log::new(now));
+        let some = counted.arrived > 0 || counted.outcomes.iter().any(|n| *n > 0);
+        some.then(|| counted.to_string())
+    }
+}
+
+impl fmt::Display for Log {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "arrived {} served {}", self.arrived, self.served)?;
+        write!(f, " refused unsent {} tried {}", self.refused_unsent, self.refused_tried)?;
+        write!(f, " failed {} gone {}; attempts", self.failed, self.gone)?;
+        const NAMES: [Outcome; OUTCOMES] = [
+            Outcome::Success,
+            Outcome::ServerError,
+            Outcome::Rejected,
+            Outcome::TimedOut,
+            Outcome::ConnectFailed,
+            Outcome::ConnectionReset,
+            Outcome::Cancelled,
+            Outcome::NotSent,
+        ];
+        for outcome in NAMES {
+            let n = self.outcomes[outcome as usize];
+            if n > 0 {
+                write!(f, " {outcome:?} {n}")?;
+            }
+        }
+        write!(f, "; lines left out {}", self.unwritten)
+    }
+}
+
+/// The attempts of a request in one short text.
+pub fn attempts(tried: &[Tried]) -> String {
+    let mut text = String::new();
+    for Tried { server, outcome, took } in tried {
+        // Writing to a string cannot fail.
+        let _ = write!(text, " [{server} {outcome:?} {:.1} ms]", took.ms());
+    }
+    text
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn lines_are_bounded_within_a_second_and_what_is_left_out_is_counted() {
+        let start = Instant::now();
+        let mut log = Log::new(start);
+        let written = (0..50).filter(|_| log.ended(End::Refused, 0, start)).count();
+        assert_eq!(written, LINES_MOST as usize);
+        assert!(log.ended(End::Failed, 1, start + Duration::from_secs(1)));
+        assert!(!log.ended(End::Served, 1, start + Duration::from_secs(1)));
+        log.arrived();
+        log.attempt(Outcome::Rejected);
+        assert_eq!(log.counts(start), None);
+        let line = log.counts(start + PERIOD).expect("a line");
+        assert_eq!(
+            line,
+            "arrived 1 served 1 refused unsent 50 tried 0 failed 1 gone 0; attempts Rejected 1; lines left out 30"
+        );
+        assert_eq!(log.counts(start + 2 * PERIOD), None);
+    }
+}
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -4,6 +4,7 @@
 mod config;
 mod discovery;
 mod driver;
+mod log;
 mod server;
 mod upstream;
 
--- a/agent/src/server.rs
+++ b/agent/src/server.rs
@@ -137,9 +137,8 @@
         if text(&head.headers, "x-priority-class") != Some(first) {
             return Err(bad("X-Priority-Class must be the first part of the path"));
         }
-        if text(&head.headers, "x-request-id").is_none_or(str::is_empty) {
-            return Err(bad("X-Request-ID is missing"));
-        }
+        let name = text(&head.headers, "x-request-id").filter(|name| !name.is_empty());
+        let name = name.ok_or_else(|| bad("X-Request-ID is missing"))?.to_owned();
         let tenant = match text(&head.headers, "x-tenant-id") {
             _ if names.tenants.is_empty() => None,
             Some(tenant) => names.tenants.iter().position(|name| name == tenant).map(TenantId),
@@ -172,6 +171,7 @@
             Ok(Err(_)) => return Err(bad("the body did not come whole")),
             Err(_) => return Err(plain(StatusCode::REQUEST_TIMEOUT, "the body did not come in time")),
         };
+        let came = Instant::now();
         let room = ANSWER_ROOM.min(wait / 4);
         let query = head.uri.query().unwrap_or_default();
         let key = query.split('&').find_map(|pair| pair.strip_prefix("key="));
@@ -182,7 +182,9 @@
             key: key.map(|key| KeyId(fnv1a(key))),
             cost_hint: cost.filter(|us| *us > 0.0 && us.is_finite()).map(|us| Span::from_ms(us / 1e3)),
             repeat: text(&head.headers, "x-retried") == Some("1"),
-            deadline: Instant::now() + (wait - room),
+            name,
+            came,
+            deadline: came + (wait - room),
             headers: forwarded(&head.headers),
             method: head.method,
             uri: head.uri,
--- a/agent/src/upstream.rs
+++ b/agent/src/upstream.rs
@@ -203,6 +203,11 @@
         }
     }
 
+    /// The connections that are open or being opened.
+    pub fn held(&self) -> usize {
+        self.held.get()
+    }
+
     /// Takes in a line of the list. A new address or a new process means new connections; one that drains or
     /// has left keeps none that are idle.
     pub fn describe(&self, server: ServerId, host: &Host) {
--- a/src/records.rs
+++ b/src/records.rs
@@ -254,6 +254,28 @@
     }
 }
 
+impl Balancer {
+    /// The state behind the decisions in one line, for a log.
+    pub fn summary(&self) -> String {
+        let serving = || self.serving.iter().map(|&i| &self.servers[i]);
+        let limits = serving().map(|s| s.limit);
+        let suspects = serving().filter(|s| s.suspicion.is_some()).count();
+        let (least, sum) = limits.fold((f64::INFINITY, 0.0), |(least, sum), l| (least.min(l), sum + l));
+        format!(
+            "serving {} suspect {suspects} in flight {} held {} level {:.2} limits {sum:.1} least {least:.2} \
+             median {:.2} pace {:.2?} now {:.2?} retries {:.1}",
+            self.serving.len(),
+            self.flights.len(),
+            self.held.len(),
+            self.level,
+            self.median,
+            self.class_pace,
+            self.class_now,
+            self.retries,
+        )
+    }
+}
+
 /// Moves a figure towards a new one by its gain, a quarter as fast if that is slower: a crowd must not pass
 /// for usual.
 pub(crate) fn lean(figure: &mut f64, new: f64, gain: f64) {
