--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -355,7 +355,12 @@
             let state = &mut *state;
             if let Some(open) = state.open.get_mut(&key.0) {
                 let server = state.names.get(&server).cloned().unwrap_or_default();
-                open.tried.push(Tried { server, outcome: ended.outcome, took: elapsed });
+                open.tried.push(Tried {
+                    server,
+                    outcome: ended.outcome,
+                    status: ended.status,
+                    took: elapsed,
+                });
                 open.timed_out = ended.outcome == Outcome::TimedOut;
             }
             let closed = !state.open.contains_key(&key.0);
--- a/agent/src/log.rs
+++ b/agent/src/log.rs
@@ -1,6 +1,7 @@
 //! What the agent writes of its service: a line for a request that ended badly, and a count of everything
 //! every few seconds. Both are bounded, so that a bad day cannot drown the log or the core in them.
 
+use hyper::StatusCode;
 use micasail::{Outcome, Span};
 use std::fmt::{self, Write};
 use tokio::time::{Duration, Instant};
@@ -17,6 +18,8 @@
     pub server: String,
     /// How it ended.
     pub outcome: Outcome,
+    /// The backend's status, if it came to one.
+    pub status: Option<StatusCode>,
     /// How long it was out, connecting included.
     pub took: Span,
 }
@@ -139,9 +142,10 @@
 /// The attempts of a request in one short text.
 pub fn attempts(tried: &[Tried]) -> String {
     let mut text = String::new();
-    for Tried { server, outcome, took } in tried {
+    for Tried { server, outcome, status, took } in tried {
+        let status = status.as_ref().map_or("-", StatusCode::as_str);
         // Writing to a string cannot fail.
-        let _ = write!(text, " [{server} {outcome:?} {:.1} ms]", took.ms());
+        let _ = write!(text, " [{server} {outcome:?} {status} {:.1} ms]", took.ms());
     }
     text
 }
--- a/agent/src/upstream.rs
+++ b/agent/src/upstream.rs
@@ -132,6 +132,8 @@
 pub struct Ended {
     /// The outcome in the balancer's terms.
     pub outcome: Outcome,
+    /// The status that the backend gave, for the log.
+    pub status: Option<StatusCode>,
     /// The load report that came along.
     pub report: Option<Vec<f64>>,
     /// The whole answer of a served request: its content type and its body.
@@ -140,7 +142,7 @@
 
 impl Ended {
     fn without_answer(outcome: Outcome) -> Self {
-        Ended { outcome, report: None, answer: None }
+        Ended { outcome, status: None, report: None, answer: None }
     }
 }
 
@@ -365,13 +367,14 @@
     async fn exchange(&self, mut connection: Connection, request: Request<Full<Bytes>>) -> Option<Ended> {
         let response = connection.sender.send_request(request).await.ok()?;
         let (outcome, report) = self.judge(&response);
+        let status = Some(response.status());
         let kind = response.headers().get(CONTENT_TYPE).cloned();
         let body = Limited::new(response.into_body(), BODY_MOST).collect().await.ok()?.to_bytes();
         if let Ok(Ok(())) = timeout(SETTLE, connection.sender.ready()).await {
             self.park(connection);
         }
         let answer = (outcome == Outcome::Success).then_some((kind, body));
-        Some(Ended { outcome, report, answer })
+        Some(Ended { outcome, status, report, answer })
     }
 
     /// What an answer means. Only a rejection that says so proves that the request has not run: a bare 503
