Let go of a peer that sends no whole request within 2.7 s, not 60 s

Cause: agent/src/server.rs waited READ_MOST, 60 s, for a head and again as long for a body. A head now has 2.2 s, which the terms allow for an idle connection too, and the first request of a connection must be whole 2.7 s after the connect, however its peer has split it.

--- a/agent/src/server.rs
+++ b/agent/src/server.rs
@@ -19,14 +19,18 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
-use tokio::time::{timeout, timeout_at, Instant};
+use tokio::time::{timeout_at, Instant};
 
 /// The part of a client's wait that is kept for writing the answer.
 const ANSWER_ROOM: Duration = Duration::from_millis(6);
 /// The longest wait that a request may ask for.
 const WAIT_MOST: Duration = Duration::from_secs(600);
-/// A request whose head or body takes longer to come is given up.
-const READ_MOST: Duration = Duration::from_secs(60);
+/// A connection over which no whole head has come for this long is closed, whether its peer is silent, slow or
+/// done: the terms allow it from 2 s without a request on, and want a peer that sends none gone within 3 s.
+const HEAD_MOST: Duration = Duration::from_millis(2200);
+/// The first request of a connection that is not whole this long after the connect is given up, and a later one
+/// this long after its head.
+const READ_MOST: Duration = Duration::from_millis(2700);
 /// The balancer ends each request by its deadline; should it not, the agent does, this much later.
 const OVERDUE: Duration = Duration::from_millis(4);
 /// Pause after an accept that failed, or descriptors that have run out would make the loop spin.
@@ -84,9 +88,13 @@
         let mut draining = self.draining.subscribe();
         let late = *draining.borrow();
         let server = self.clone();
-        let service = service_fn(move |request| server.clone().answer(request));
+        let opened = Cell::new(Some(Instant::now()));
+        let service = service_fn(move |request| {
+            let since = opened.take().unwrap_or_else(Instant::now);
+            server.clone().answer(request, since + READ_MOST)
+        });
         let mut builder = http1::Builder::new();
-        builder.timer(TokioTimer::new()).header_read_timeout(READ_MOST).keep_alive(!late);
+        builder.timer(TokioTimer::new()).header_read_timeout(HEAD_MOST).keep_alive(!late);
         let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
         // An error here is the client's leaving or its bad bytes; both concern this connection alone.
         tokio::select! {
@@ -96,15 +104,23 @@
         let _ = connection.await;
     }
 
-    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
+    async fn answer(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+        whole_by: Instant,
+    ) -> Result<Response<Full<Bytes>>, Infallible> {
         self.busy.set(self.busy.get() + 1);
         let _busy = Busy(&self.busy);
-        Ok(match self.take(request).await {
+        Ok(match self.take(request, whole_by).await {
             Ok(answer) | Err(answer) => answer,
         })
     }
 
-    async fn take(&self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Response<Full<Bytes>>> {
+    async fn take(
+        &self,
+        request: Request<Incoming>,
+        whole_by: Instant,
+    ) -> Result<Response<Full<Bytes>>, Response<Full<Bytes>>> {
         if request.uri().path() == "/ready" {
             let ready = self.driver.ready() && !*self.draining.borrow();
             return Ok(if ready {
@@ -113,7 +129,7 @@
                 plain(StatusCode::SERVICE_UNAVAILABLE, "not ready")
             });
         }
-        let arrival = self.read(request).await?;
+        let arrival = self.read(request, whole_by).await?;
         let deadline = arrival.deadline;
         let (id, answer) = self.driver.submit(arrival);
         // When the client leaves, hyper drops this future, and the guard tells the balancer.
@@ -126,7 +142,11 @@
     }
 
     /// Reads a request whole; the error is the answer to a bad one.
-    async fn read(&self, request: Request<Incoming>) -> Result<Arrival, Response<Full<Bytes>>> {
+    async fn read(
+        &self,
+        request: Request<Incoming>,
+        whole_by: Instant,
+    ) -> Result<Arrival, Response<Full<Bytes>>> {
         let bad = |why: &str| plain(StatusCode::BAD_REQUEST, why);
         let (head, body) = request.into_parts();
         let names = &self.driver.names;
@@ -165,7 +185,7 @@
         if body.size_hint().lower() > BODY_MOST as u64 {
             return Err(large());
         }
-        let body = match timeout(READ_MOST, Limited::new(body, BODY_MOST).collect()).await {
+        let body = match timeout_at(whole_by, Limited::new(body, BODY_MOST).collect()).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(e)) if e.is::<LengthLimitError>() => return Err(large()),
             Ok(Err(_)) => return Err(bad("the body did not come whole")),
--- a/agent/tests/service.rs
+++ b/agent/tests/service.rs
@@ -47,6 +47,30 @@
     assert!(backend.seen.try_recv().is_err(), "a bad request went on");
 }
 
+/// Terms, requests and connections: a peer that sends nothing, or no whole request, gets an error or a close.
+#[tokio::test]
+async fn peers_that_send_no_whole_request_are_let_go() {
+    let mut backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let directory = Directory::start(Mood::Mute).await;
+    let agent = Agent::start(directory.address, &[host("s", backend.address, "up")]).await;
+    let whole = request("POST", "/pay", "2000m", "body");
+    let half_head = whole.split_at(20).0.to_owned();
+    let half_body = whole.split_at(whole.len() - 2).0.to_owned();
+    let mut silent = agent.client().await;
+    let mut slow_head = agent.client().await;
+    slow_head.send(&half_head).await;
+    let mut done = agent.client().await;
+    assert_eq!(done.ask(&whole).await.status(), 200);
+    let mut slow_body = agent.client().await;
+    slow_body.send(&half_body).await;
+    silent.closed().await;
+    slow_head.closed().await;
+    done.closed().await;
+    assert_eq!(slow_body.answer().await.status(), 408);
+    backend.next().await;
+    assert!(backend.seen.try_recv().is_err(), "half a request went on");
+}
+
 #[tokio::test]
 async fn the_agent_is_ready_once_there_is_a_backend() {
     let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
