--- a/src/logic.rs
+++ b/src/logic.rs
@@ -36,8 +36,8 @@
 /// First and longest pause between two trials of a suspect server.
 const TRIAL_FIRST: Span = Span(250_000);
 const TRIAL_MOST: Span = Span(4_000_000);
-/// The share of its aim that an answer may wait for others, of what an idle server leaves of the aim: over it a
-/// server's limit shrinks, under it it grows.
+/// The share of what an idle server leaves of the aim that an answer may wait for others: over it a server's
+/// limit shrinks, under it it grows.
 const TARGET: f64 = 0.25;
 /// A server in another zone weighs this much more for each 1% of a request that crossing is priced at; never
 /// as much as one request more at zero, so that the price alone does not fill a zone.
@@ -194,8 +194,7 @@
         self.tell_bytes = (self.tell_bytes + TELL_EARN).min(TELL_SAVED);
         let burst = if self.blind { 1.0 } else { RETRY_BURST };
         self.retries = (self.retries + RETRY_EARN).min(burst);
-        // Where a balancer meets a server once in many seconds, limits per server bind nothing: in a jam of the
-        // fleet it lets in only the part of its requests that the level says, by chance.
+        // A blind balancer's limits per server bind nothing: by chance it lets in what the level says.
         if hopeless || (self.blind && self.rng.f64() >= self.level) {
             self.end(now, id, out);
         } else if !self.place(now, id, out) {
@@ -694,8 +693,8 @@
             *pace += (used - *pace) / *n;
             s.pace = if s.samples == 0 { used } else { s.pace + PACE_GAIN * (used - s.pace) };
             s.samples += 1;
-            // Slower than the pace forgets, or its lag would drive the limit down too far. A full queue is sure
-            // evidence and counts at once, a late answer only at a slow pace: alone it may be a costly one.
+            // Slower than the pace forgets, or its lag would drive the limit down too far. A full queue is
+            // sure evidence and counts at once, a late answer only at a slow pace: alone it may be costly.
             let over = (s.pace / target - 1.0).min(2.0);
             let sure = used >= 1.0 && (over > 0.0 || outcome != Outcome::Success);
             let factor = if sure { LATE_CUT } else { 1.0 - SHRINK * over.max(0.0) };
