Begin the discovery watch at the start where the list is pushed

Balancer::start asks to follow only where the list must be asked for, since in the simulator pushed changes come by themselves; on sockets nothing comes without a call (PROTOCOL, discovery). The inherited tests run on "on_request" settings only and could not show it.

The fault is the host's, and Driver::start now begins the watch; a watch that fails is begun again by the balancer, as before. The test pushed_changes_of_the_list_are_heard waits 30 s in vain without the change.

--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -143,6 +143,7 @@
             Duration::from_micros(config.names.keepalive.0),
             config.names.report_fields.clone(),
         ));
+        let pushed = config.settings.discovery == micasail::Discovery::Pushed;
         let mut balancer = Balancer::new(config.settings, config.seed)?;
         let mut actions = Vec::new();
         balancer.start(clock.now(), &mut actions);
@@ -176,6 +177,10 @@
             for action in actions {
                 driver.carry_out(&mut state, action);
             }
+            // Where changes are pushed the balancer never asks for them; on sockets a watch is what brings them.
+            if pushed {
+                driver.carry_out(&mut state, Action::Follow { active: true });
+            }
         }
         driver.pump();
         Ok(driver)
--- a/agent/tests/service.rs
+++ b/agent/tests/service.rs
@@ -107,6 +107,24 @@
     assert!(told.elapsed() < Duration::from_secs(6), "closed for the drain, not for its age of 7 s");
 }
 
+/// Where the settings say that changes are pushed, the watch must begin by itself (Protocol, discovery).
+#[tokio::test]
+async fn pushed_changes_of_the_list_are_heard() {
+    let mut old = Backend::start(|_| Reply::Bytes(ok("old"))).await;
+    let new = Backend::start(|_| Reply::Bytes(ok("new"))).await;
+    let mut directory = Directory::start(Mood::List(json!({"seq": 1, "whole": true, "hosts": []}))).await;
+    let mut config = config(directory.address, &[host("old", old.address, "up")]);
+    config["settings"]["discovery"] = "pushed".into();
+    let agent = Agent::with(config, |_| {}).await;
+    assert!(directory.next_call().await.starts_with("/v1/endpoints?after=1&wait_ms="));
+    directory.list(2, &[host("old", old.address, "removed"), host("new", new.address, "up")]);
+    assert!(directory.next_call().await.starts_with("/v1/endpoints?after=2&wait_ms="));
+    for _ in 0..20 {
+        assert_eq!(agent.get("/read").await.body, b"new");
+    }
+    assert!(old.seen.try_recv().is_err(), "sent to a backend that has left");
+}
+
 /// The same host at another address, or started anew, is another process: nothing goes over old connections.
 #[tokio::test]
 async fn a_new_address_or_a_new_process_means_new_connections() {
