Take the new discovery address on SIGHUP instead of ending by the signal

The agent had no handler, so the signal ended it.

main.rs now awaits SIGHUP beside SIGTERM and reads `discovery` from the file alone, since PROXY_DISCOVERY still holds the address of the start. The watch begins anew there with the whole list, as the two need not count versions alike. A file that cannot be read leaves everything as it was and is logged. The test a_hangup_moves_the_watch_to_the_discovery_of_the_new_file fails without the change: the agent is gone.

--- a/agent/src/config.rs
+++ b/agent/src/config.rs
@@ -57,14 +57,25 @@
     sockets: Option<usize>,
 }
 
+impl File {
+    fn read(var: &impl Fn(&str) -> Option<String>) -> Result<Self, String> {
+        let path = PathBuf::from(var("PROXY_CONFIG").ok_or("PROXY_CONFIG is not set")?);
+        let text = std::fs::read(&path).map_err(|e| format!("cannot read {}: {e}", path.display()))?;
+        serde_json::from_slice(&text).map_err(|e| format!("{} is no configuration: {e}", path.display()))
+    }
+}
+
 impl Config {
     /// Reads the configuration of this process; the error is one line for a person.
     pub fn load(var: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
-        let path = PathBuf::from(var("PROXY_CONFIG").ok_or("PROXY_CONFIG is not set")?);
-        let text = std::fs::read(&path).map_err(|e| format!("cannot read {}: {e}", path.display()))?;
-        let file: File = serde_json::from_slice(&text)
-            .map_err(|e| format!("{} is no configuration: {e}", path.display()))?;
-        Self::from_file(file, var)
+        Self::from_file(File::read(&var)?, var)
+    }
+
+    /// Where discovery answers by the file as it is now. The variables tell what was so at the start, and the
+    /// file has been replaced since: here it alone counts.
+    pub fn discovery_now(var: impl Fn(&str) -> Option<String>) -> Result<SocketAddr, String> {
+        let address = File::read(&var)?.discovery.ok_or("the file names no discovery")?;
+        address.parse().map_err(|_| format!("discovery is {address:?}; an address was expected"))
     }
 
     fn from_file(file: File, var: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
--- a/agent/src/discovery.rs
+++ b/agent/src/discovery.rs
@@ -113,8 +113,8 @@
         Discovery { address, watch: None, fetch: None }
     }
 
-    /// Begins a watch for what is newer than `seq`, or ends the one there is.
-    pub fn follow(&mut self, driver: &Rc<Driver>, active: bool, seq: u64) {
+    /// Begins a watch for what is newer than `seq`, or with the whole list, or ends the one there is.
+    pub fn follow(&mut self, driver: &Rc<Driver>, active: bool, seq: Option<u64>) {
         if let Some(watch) = self.watch.take() {
             watch.abort();
         }
@@ -124,6 +124,21 @@
         }
     }
 
+    /// Calls another address from now on. What is on at the old one ends; a watch begins anew with the whole
+    /// list, as nobody says that both count versions alike.
+    pub fn moved(&mut self, driver: &Rc<Driver>, address: SocketAddr) {
+        self.address = address;
+        let fetching = self.fetch.take().is_some_and(|fetch| {
+            fetch.abort();
+            !fetch.is_finished()
+        });
+        if self.watch.is_some() {
+            self.follow(driver, true, None);
+        } else if fetching {
+            self.fetch(driver);
+        }
+    }
+
     /// Asks for the whole list once.
     pub fn fetch(&mut self, driver: &Rc<Driver>) {
         if self.fetch.as_ref().is_some_and(|f| !f.is_finished()) {
@@ -139,14 +154,17 @@
 
 /// Calls again as soon as the last call is answered, until one fails: then the watch is over, the balancer is
 /// told, and begins another when it sees fit.
-async fn watch(address: SocketAddr, driver: Rc<Driver>, mut seq: u64) {
+async fn watch(address: SocketAddr, driver: Rc<Driver>, mut seq: Option<u64>) {
     let mut connection = None;
     loop {
-        let path = format!("/v1/endpoints?after={seq}&wait_ms={}", WAIT.as_millis());
-        let answer = call(address, &mut connection, &path, WAIT).await;
+        let (path, wait) = match seq {
+            Some(seq) => (format!("/v1/endpoints?after={seq}&wait_ms={}", WAIT.as_millis()), WAIT),
+            None => ("/v1/endpoints".to_owned(), Duration::ZERO),
+        };
+        let answer = call(address, &mut connection, &path, wait).await;
         let failed = answer.is_none();
         if let Some(list) = &answer {
-            seq = list.seq;
+            seq = Some(list.seq);
         }
         driver.listed(answer);
         if failed {
--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -16,6 +16,7 @@
 use std::cell::RefCell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{oneshot, Notify};
@@ -244,6 +245,11 @@
         self.pump();
     }
 
+    /// Discovery is at another address from now on.
+    pub fn discovery_moved(self: &Rc<Self>, address: SocketAddr) {
+        self.state.borrow_mut().discovery.moved(self, address);
+    }
+
     /// Wakes the balancer when a timer is due, and looks after idle connections; never ends.
     pub async fn run(self: Rc<Self>) {
         let mut sweep = Instant::now() + SWEEP;
@@ -322,7 +328,7 @@
             Action::CloseIdle { server } => self.upstream.close_idle(server),
             Action::Follow { active } => {
                 let seq = state.seq;
-                state.discovery.follow(self, active, seq);
+                state.discovery.follow(self, active, Some(seq));
             }
             Action::FetchList => state.discovery.fetch(self),
             // Agents of this deployment have no way to talk to each other, and the settings say so.
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -44,6 +44,7 @@
 /// Serves until SIGTERM, and then until all that came is answered.
 async fn serve(config: Config) -> Result<(), String> {
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("cannot await SIGTERM: {e}"))?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("cannot await SIGHUP: {e}"))?;
     let listen = config.listen;
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
     let address = listener.local_addr().map_err(|e| format!("cannot listen on {listen}: {e}"))?;
@@ -52,14 +53,25 @@
     let half = config.sockets.saturating_sub(SPARE_SOCKETS) / 2;
     let driver = Driver::start(config, half).map_err(|e| e.to_string())?;
     let mut driven = tokio::task::spawn_local(driver.clone().run());
-    let server = Server::new(driver, half);
+    let server = Server::new(driver.clone(), half);
     let accepting = tokio::task::spawn_local(server.clone().accept(listener));
     eprintln!("{name}: listening on {address}");
 
-    tokio::select! {
-        _ = term.recv() => {}
-        // Without its clock the agent would take requests and answer none: better that it ends and is restarted.
-        _ = &mut driven => return Err("the decisions have stopped".into()),
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = hangup.recv() => match Config::discovery_now(|name| std::env::var(name).ok()) {
+                Ok(discovery) => {
+                    eprintln!("{name}: discovery is at {discovery} now");
+                    driver.discovery_moved(discovery);
+                }
+                // What was known still stands: a bad file must not end a running agent.
+                Err(why) => eprintln!("{name}: the new configuration is not taken: {why}"),
+            },
+            // Without its clock the agent would take requests and answer none: better that it ends and is
+            // restarted.
+            _ = &mut driven => return Err("the decisions have stopped".into()),
+        }
     }
     let told = Instant::now();
     server.drain();
--- a/agent/tests/common/mod.rs
+++ b/agent/tests/common/mod.rs
@@ -301,8 +301,18 @@
     }
 
     pub async fn term(&self) {
+        self.signal("-TERM").await;
+    }
+
+    /// Replaces the configuration by this text and says so.
+    pub async fn reconfigure(&self, text: &str) {
+        std::fs::write(&self.file, text).expect("a file");
+        self.signal("-HUP").await;
+    }
+
+    async fn signal(&self, signal: &str) {
         let id = self.child.id().expect("it runs").to_string();
-        let sent = Command::new("kill").args(["-TERM", &id]).status().await.expect("kill runs");
+        let sent = Command::new("kill").args([signal, &id]).status().await.expect("kill runs");
         assert!(sent.success());
     }
 
--- a/agent/tests/service.rs
+++ b/agent/tests/service.rs
@@ -125,6 +125,33 @@
     assert!(old.seen.try_recv().is_err(), "sent to a backend that has left");
 }
 
+/// Terms, reconfiguration: after SIGHUP the file names another discovery; the old one may be gone. A file that
+/// cannot be read changes nothing.
+#[tokio::test]
+async fn a_hangup_moves_the_watch_to_the_discovery_of_the_new_file() {
+    let old = Backend::start(|_| Reply::Bytes(ok("old"))).await;
+    let new = Backend::start(|_| Reply::Bytes(ok("new"))).await;
+    let mut before = Directory::start(Mood::List(json!({"seq": 1, "whole": true, "hosts": []}))).await;
+    let mut after = Directory::start(Mood::List(
+        json!({"seq": 3, "whole": true, "hosts": [host("new", new.address, "up")]}),
+    ))
+    .await;
+    let mut agent = Agent::with(config(before.address, &[host("old", old.address, "up")]), |command| {
+        command.env("PROXY_DISCOVERY", before.address.to_string());
+    })
+    .await;
+    before.next_call().await;
+    before.list(10, &[host("old", old.address, "up")]);
+    assert!(before.next_call().await.starts_with("/v1/endpoints?after=10&"));
+    assert_eq!(agent.get("/read").await.body, b"old");
+    agent.reconfigure("no configuration").await;
+    agent.reconfigure(&config(after.address, &[]).to_string()).await;
+    assert_eq!(after.next_call().await, "/v1/endpoints");
+    assert!(after.next_call().await.starts_with("/v1/endpoints?after=3&"));
+    assert_eq!(agent.get("/read").await.body, b"new");
+    assert!(agent.child.try_wait().expect("a status").is_none(), "an agent that ends on SIGHUP has crashed");
+}
+
 /// The same host at another address, or started anew, is another process: nothing goes over old connections.
 #[tokio::test]
 async fn a_new_address_or_a_new_process_means_new_connections() {
