--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -370,6 +370,7 @@
                     server,
                     outcome: ended.outcome,
                     status: ended.status,
+                    idled: ended.idled,
                     took: elapsed,
                 });
                 open.timed_out = ended.outcome == Outcome::TimedOut;
@@ -451,10 +452,12 @@
         let _ = open.answer.send(answer);
     }
 
-    /// Counts the end of a request, and logs a bad one under the application's name for it.
+    /// Counts the end of a request, and logs one that did not go well under the application's name for it.
     fn note(&mut self, open: &Open, end: End, names: &Names) {
         let now = Instant::now();
-        if !self.log.ended(end, open.sends, now) {
+        self.log.ended(end, open.sends);
+        // Served at last is worth a line too, if only after an attempt that was lost.
+        if (matches!(end, End::Served) && open.tried.is_empty()) || !self.log.room(now) {
             return;
         }
         let how = match end {
--- a/agent/src/log.rs
+++ b/agent/src/log.rs
@@ -1,4 +1,4 @@
-//! What the agent writes of its service: a line for a request that ended badly, and a count of everything
+//! What the agent writes of its service: a line for a request that did not go well, and a count of everything
 //! every few seconds. Both are bounded, so that a bad day cannot drown the log or the core in them.
 
 use hyper::StatusCode;
@@ -20,6 +20,8 @@
     pub outcome: Outcome,
     /// The backend's status, if it came to one.
     pub status: Option<StatusCode>,
+    /// How long its connection had stood idle before, if it was used again.
+    pub idled: Option<Duration>,
     /// How long it was out, connecting included.
     pub took: Span,
 }
@@ -80,8 +82,8 @@
         self.outcomes[outcome as usize % OUTCOMES] += 1;
     }
 
-    /// A request has ended after `sends` attempts; whether its end is worth a line of its own.
-    pub fn ended(&mut self, end: End, sends: u32, now: Instant) -> bool {
+    /// A request has ended after `sends` attempts.
+    pub fn ended(&mut self, end: End, sends: u32) {
         let count = match end {
             End::Served => &mut self.served,
             End::Refused if sends == 0 => &mut self.refused_unsent,
@@ -90,9 +92,10 @@
             End::Gone => &mut self.gone,
         };
         *count += 1;
-        if matches!(end, End::Served) {
-            return false;
-        }
+    }
+
+    /// Whether one more line fits into the present second.
+    pub fn room(&mut self, now: Instant) -> bool {
         if now.saturating_duration_since(self.second) >= Duration::from_secs(1) {
             (self.second, self.lines) = (now, 0);
         }
@@ -142,10 +145,11 @@
 /// The attempts of a request in one short text.
 pub fn attempts(tried: &[Tried]) -> String {
     let mut text = String::new();
-    for Tried { server, outcome, status, took } in tried {
+    for Tried { server, outcome, status, idled, took } in tried {
+        let idled = idled.map_or("fresh".into(), |idled| format!("idle {:.0}", idled.as_secs_f64() * 1e3));
         let status = status.as_ref().map_or("-", StatusCode::as_str);
         // Writing to a string cannot fail.
-        let _ = write!(text, " [{server} {outcome:?} {status} {:.1} ms]", took.ms());
+        let _ = write!(text, " [{server} {outcome:?} {status} {idled} {:.1} ms]", took.ms());
     }
     text
 }
@@ -158,10 +162,12 @@
     fn lines_are_bounded_within_a_second_and_what_is_left_out_is_counted() {
         let start = Instant::now();
         let mut log = Log::new(start);
-        let written = (0..50).filter(|_| log.ended(End::Refused, 0, start)).count();
+        let written = (0..50).filter(|_| log.room(start)).count();
+        (0..50).for_each(|_| log.ended(End::Refused, 0));
         assert_eq!(written, LINES_MOST as usize);
-        assert!(log.ended(End::Failed, 1, start + Duration::from_secs(1)));
-        assert!(!log.ended(End::Served, 1, start + Duration::from_secs(1)));
+        assert!(log.room(start + Duration::from_secs(1)));
+        log.ended(End::Failed, 1);
+        log.ended(End::Served, 1);
         log.arrived();
         log.attempt(Outcome::Rejected);
         assert_eq!(log.counts(start), None);
--- a/agent/src/upstream.rs
+++ b/agent/src/upstream.rs
@@ -108,6 +108,8 @@
 pub struct Progress {
     /// The wire that it goes over, and the count there when its last byte is out.
     wire: RefCell<Option<(Rc<Wire>, u64)>>,
+    /// How long the connection had stood idle, if it was not a fresh one.
+    idled: Cell<Option<Duration>>,
     stopped: Cell<bool>,
     stop: Notify,
 }
@@ -134,6 +136,8 @@
     pub outcome: Outcome,
     /// The status that the backend gave, for the log.
     pub status: Option<StatusCode>,
+    /// How long the connection had stood idle before, if it was not a fresh one; for the log.
+    pub idled: Option<Duration>,
     /// The load report that came along.
     pub report: Option<Vec<f64>>,
     /// The whole answer of a served request: its content type and its body.
@@ -142,7 +146,7 @@
 
 impl Ended {
     fn without_answer(outcome: Outcome) -> Self {
-        Ended { outcome, status: None, report: None, answer: None }
+        Ended { outcome, status: None, idled: None, report: None, answer: None }
     }
 }
 
@@ -325,23 +329,25 @@
             }
             let whole = connection.wire.written.get() + length(&request);
             *progress.wire.borrow_mut() = Some((connection.wire.clone(), whole));
+            progress.idled.set((connection.wire.written.get() > 0).then(|| connection.idle_since.elapsed()));
             self.exchange(connection, request).await
         };
         let ended = tokio::select! {
             biased;
             () = progress.stop.notified() => Some(Outcome::Cancelled),
             ended = timeout_at(until, exchange) => match ended {
-                Ok(Some(ended)) => return ended,
+                Ok(Some(ended)) => return Ended { idled: progress.idled.get(), ..ended },
                 Ok(None) => None,
                 Err(_) => Some(Outcome::TimedOut),
             },
         };
         // Whether a broken attempt may have run rests on the bytes that went out and on nothing else.
-        Ended::without_answer(match (progress.may_have_run(), ended) {
+        let ended = Ended::without_answer(match (progress.may_have_run(), ended) {
             (true, outcome) => outcome.unwrap_or(Outcome::ConnectionReset),
             (false, _) if progress.stopped.get() => Outcome::NotSent,
             (false, _) => Outcome::ConnectFailed,
-        })
+        });
+        Ended { idled: progress.idled.get(), ..ended }
     }
 
     /// Asks a backend for its health, and for its load where it tells that.
@@ -374,7 +380,7 @@
             self.park(connection);
         }
         let answer = (outcome == Outcome::Success).then_some((kind, body));
-        Some(Ended { outcome, status, report, answer })
+        Some(Ended { outcome, status, idled: None, report, answer })
     }
 
     /// What an answer means. Only a rejection that says so proves that the request has not run: a bare 503
