--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -371,6 +371,7 @@
                     outcome: ended.outcome,
                     status: ended.status,
                     idled: ended.idled,
+                    why: ended.why,
                     took: elapsed,
                 });
                 open.timed_out = ended.outcome == Outcome::TimedOut;
--- a/agent/src/log.rs
+++ b/agent/src/log.rs
@@ -22,6 +22,8 @@
     pub status: Option<StatusCode>,
     /// How long its connection had stood idle before, if it was used again.
     pub idled: Option<Duration>,
+    /// What was wrong with its connection or its answer.
+    pub why: Option<String>,
     /// How long it was out, connecting included.
     pub took: Span,
 }
@@ -145,11 +147,12 @@
 /// The attempts of a request in one short text.
 pub fn attempts(tried: &[Tried]) -> String {
     let mut text = String::new();
-    for Tried { server, outcome, status, idled, took } in tried {
+    for Tried { server, outcome, status, idled, why, took } in tried {
+        let why = why.as_deref().unwrap_or_default();
         let idled = idled.map_or("fresh".into(), |idled| format!("idle {:.0}", idled.as_secs_f64() * 1e3));
         let status = status.as_ref().map_or("-", StatusCode::as_str);
         // Writing to a string cannot fail.
-        let _ = write!(text, " [{server} {outcome:?} {status} {idled} {:.1} ms]", took.ms());
+        let _ = write!(text, " [{server} {outcome:?} {status} {idled} {:.1} ms {why}]", took.ms());
     }
     text
 }
--- a/agent/src/upstream.rs
+++ b/agent/src/upstream.rs
@@ -35,6 +35,9 @@
 /// After a whole answer a connection is ready again at once, or there is something wrong with it.
 const SETTLE: Duration = Duration::from_millis(5);
 
+/// The longest reason that is logged for a lost attempt, in characters.
+const REASON_MOST: usize = 80;
+
 /// What passes between a connection's task and its user: bytes written so far, and leave to write more.
 #[derive(Default)]
 struct Wire {
@@ -138,6 +141,8 @@
     pub status: Option<StatusCode>,
     /// How long the connection had stood idle before, if it was not a fresh one; for the log.
     pub idled: Option<Duration>,
+    /// What was wrong with the connection or the answer; for the log.
+    pub why: Option<String>,
     /// The load report that came along.
     pub report: Option<Vec<f64>>,
     /// The whole answer of a served request: its content type and its body.
@@ -146,7 +151,7 @@
 
 impl Ended {
     fn without_answer(outcome: Outcome) -> Self {
-        Ended { outcome, status: None, idled: None, report: None, answer: None }
+        Ended { outcome, status: None, idled: None, why: None, report: None, answer: None }
     }
 }
 
@@ -322,23 +327,23 @@
         progress: &Progress,
     ) -> Ended {
         let exchange = async {
-            let connection = self.connection(server).await?;
+            let connection = self.connection(server).await.ok_or_else(|| "no connection".to_owned())?;
             if progress.stopped.get() {
                 self.park(connection);
-                return None;
+                return Err("called off".to_owned());
             }
             let whole = connection.wire.written.get() + length(&request);
             *progress.wire.borrow_mut() = Some((connection.wire.clone(), whole));
             progress.idled.set((connection.wire.written.get() > 0).then(|| connection.idle_since.elapsed()));
             self.exchange(connection, request).await
         };
-        let ended = tokio::select! {
+        let (ended, why) = tokio::select! {
             biased;
-            () = progress.stop.notified() => Some(Outcome::Cancelled),
+            () = progress.stop.notified() => (Some(Outcome::Cancelled), None),
             ended = timeout_at(until, exchange) => match ended {
-                Ok(Some(ended)) => return Ended { idled: progress.idled.get(), ..ended },
-                Ok(None) => None,
-                Err(_) => Some(Outcome::TimedOut),
+                Ok(Ok(ended)) => return Ended { idled: progress.idled.get(), ..ended },
+                Ok(Err(why)) => (None, Some(why)),
+                Err(_) => (Some(Outcome::TimedOut), None),
             },
         };
         // Whether a broken attempt may have run rests on the bytes that went out and on nothing else.
@@ -347,7 +352,7 @@
             (false, _) if progress.stopped.get() => Outcome::NotSent,
             (false, _) => Outcome::ConnectFailed,
         });
-        Ended { idled: progress.idled.get(), ..ended }
+        Ended { idled: progress.idled.get(), why, ..ended }
     }
 
     /// Asks a backend for its health, and for its load where it tells that.
@@ -359,7 +364,7 @@
                 return Ended::without_answer(Outcome::ConnectFailed);
             };
             let ended = self.exchange(connection, request).await;
-            let mut ended = ended.unwrap_or(Ended::without_answer(Outcome::ConnectionReset));
+            let mut ended = ended.unwrap_or_else(|_| Ended::without_answer(Outcome::ConnectionReset));
             if let (None, Some((_, body))) = (&ended.report, &ended.answer) {
                 ended.report =
                     std::str::from_utf8(body).ok().and_then(|text| parse_report(text, &self.fields));
@@ -369,18 +374,23 @@
         timeout(PROBE_WAIT, exchange).await.unwrap_or(Ended::without_answer(Outcome::TimedOut))
     }
 
-    /// One request and its whole answer over a connection; `None` if that broke on the way.
-    async fn exchange(&self, mut connection: Connection, request: Request<Full<Bytes>>) -> Option<Ended> {
-        let response = connection.sender.send_request(request).await.ok()?;
+    /// One request and its whole answer over a connection; what went wrong if that broke on the way.
+    async fn exchange(
+        &self,
+        mut connection: Connection,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Ended, String> {
+        let response = connection.sender.send_request(request).await.map_err(|e| reason(&e))?;
         let (outcome, report) = self.judge(&response);
         let status = Some(response.status());
         let kind = response.headers().get(CONTENT_TYPE).cloned();
-        let body = Limited::new(response.into_body(), BODY_MOST).collect().await.ok()?.to_bytes();
+        let body = Limited::new(response.into_body(), BODY_MOST).collect().await;
+        let body = body.map_err(|e| reason(&*e))?.to_bytes();
         if let Ok(Ok(())) = timeout(SETTLE, connection.sender.ready()).await {
             self.park(connection);
         }
         let answer = (outcome == Outcome::Success).then_some((kind, body));
-        Some(Ended { outcome, status, idled: None, report, answer })
+        Ok(Ended { outcome, status, idled: None, why: None, report, answer })
     }
 
     /// What an answer means. Only a rejection that says so proves that the request has not run: a bare 503
@@ -410,6 +420,12 @@
     Ok((sender, task, wire))
 }
 
+/// An error and what lies under it, short.
+fn reason(error: &dyn std::error::Error) -> String {
+    let under = error.source().map(|under| format!(": {under}")).unwrap_or_default();
+    format!("{error}{under}").chars().take(REASON_MOST).collect()
+}
+
 /// The bytes of a request as they go out, or a few less: short of them, its last byte is not out.
 fn length(request: &Request<Full<Bytes>>) -> u64 {
     let line =
