Cut a server's limit for late answers once a round trip, not once an answer

A renderer that stands still for 300 ms makes everything that it holds late at the same moment; learn() took 15% for each of these answers, so that one stand-still of eight in flight left a quarter of the limit, and growth brings back a tenth of a request a round trip. Ruled out: a full queue (full 0), dead processes (conn 0, reset 0), the common level.

Mend: an attempt that was sent before the last cut brings no further one. The test one_stand_still_is_one_cut fails without it (1 in flight after, of the many before).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -77,8 +77,6 @@
 /// A held request must have this multiple of its class's present answer time left, or this share of its aim.
 const WAIT_MARGIN: f64 = 2.0;
 const WAIT_MOST: f64 = 0.7;
-/// Traffic is counted over about this many milliseconds.
-const COUNT_MS: f64 = 3000.0;
 /// A tenant is over its share at this multiple of its fraction; usage wobbles without anyone flooding.
 const SHARE_SLACK: f64 = 1.4;
 /// Longest local queue, in requests.
@@ -202,17 +200,6 @@
         }
     }
 
-    /// Keeps the traffic of the last seconds by class and by tenant.
-    fn count(&mut self, now: Time, request: &Request) {
-        let keep = (-now.since(self.counted_at).ms() / COUNT_MS).exp();
-        self.counted_at = now;
-        self.asked.iter_mut().chain(&mut self.tenant_asked).for_each(|n| *n *= keep);
-        self.asked[request.class.0] += 1.0;
-        if let Some(n) = request.tenant.and_then(|t| self.tenant_asked.get_mut(t.0)) {
-            *n += 1.0;
-        }
-    }
-
     /// Of a tenant that takes more than its fraction of this balancer's traffic, the excess is over share.
     /// No balancer sees the whole; its own traffic is the sample that it has.
     fn over_share(&mut self, request: &Request) -> bool {
@@ -697,7 +684,13 @@
             // sure evidence and counts at once, a late answer only at a slow pace: alone it may be costly.
             let over = (s.pace / target - 1.0).min(2.0);
             let sure = used >= 1.0 && (over > 0.0 || outcome != Outcome::Success);
-            let factor = if sure { LATE_CUT } else { 1.0 - SHRINK * over.max(0.0) };
+            // What was sent before the last cut tells of the same stand-still again.
+            let factor = match sure {
+                true if flight.sent < s.cut_at => 1.0,
+                true => LATE_CUT,
+                false => 1.0 - SHRINK * over.max(0.0),
+            };
+            s.cut_at = if factor == LATE_CUT { now } else { s.cut_at };
             s.limit = (s.limit * factor).max(least);
             if over <= 0.0 && used < 1.0 && f64::from(own) + 1.0 >= (0.7 * s.limit).floor() {
                 s.limit = (s.limit + GROWTH / s.limit.max(1.0)).min(LIMIT_MOST);
--- a/src/records.rs
+++ b/src/records.rs
@@ -3,6 +3,9 @@
 use crate::api::*;
 use std::collections::BTreeMap;
 
+/// Traffic is counted over about this many milliseconds.
+const COUNT_MS: f64 = 3000.0;
+
 /// Where a request may still go.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Reach {
@@ -119,6 +122,8 @@
     /// Own requests that it may hold; under one, a rest follows each answer.
     pub(crate) limit: f64,
     pub(crate) rest_until: Time,
+    /// When its limit was last cut for a late answer or a full queue.
+    pub(crate) cut_at: Time,
     /// When its last answer came, and what that took in milliseconds.
     pub(crate) ended: Time,
     pub(crate) took: f64,
@@ -145,6 +150,7 @@
             last_answer: now,
             limit,
             rest_until: now,
+            cut_at: Time(0),
             ended: now,
             took: 0.0,
             suspicion: None,
@@ -255,6 +261,17 @@
 }
 
 impl Balancer {
+    /// Keeps the traffic of the last seconds by class and by tenant.
+    pub(crate) fn count(&mut self, now: Time, request: &Request) {
+        let keep = (-now.since(self.counted_at).ms() / COUNT_MS).exp();
+        self.counted_at = now;
+        self.asked.iter_mut().chain(&mut self.tenant_asked).for_each(|n| *n *= keep);
+        self.asked[request.class.0] += 1.0;
+        if let Some(n) = request.tenant.and_then(|t| self.tenant_asked.get_mut(t.0)) {
+            *n += 1.0;
+        }
+    }
+
     /// The state behind the decisions in one line, for a log.
     pub fn summary(&self) -> String {
         let serving = || self.serving.iter().map(|&i| &self.servers[i]);
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -117,6 +117,46 @@
     rig.assert_rules();
 }
 
+/// Offers requests to a fleet of one for `rounds` of 20 ms, each sent one answered after that; then how many it
+/// may hold at once. These stay out.
+fn fill_after(rig: &mut Rig, rounds: u32) -> Vec<RequestId> {
+    let mut out = Vec::new();
+    for _ in 0..rounds {
+        let asked = std::iter::from_fn(|| Some(rig.ask(0)).filter(|asked| asked.1.is_some()));
+        out.extend(asked.map(|asked| asked.0));
+        rig.wait(Span::from_ms(20.0));
+        for id in std::mem::take(&mut out) {
+            let more = rig.answer(id, 0, Outcome::Success, 20.0).to_vec();
+            out.extend(more.iter().filter_map(|action| match action {
+                Action::Send { request, .. } => Some(*request),
+                _ => None,
+            }));
+        }
+    }
+    out.extend(
+        std::iter::from_fn(|| Some(rig.ask(0)).filter(|asked| asked.1.is_some())).map(|asked| asked.0),
+    );
+    out
+}
+
+/// A server that stands still makes all that it holds late at once: that is one piece of news and not many.
+#[test]
+fn one_stand_still_is_one_cut() {
+    let mut rig = Rig::new(settings(), 1);
+    rig.list(fleet(1, 1, 1));
+    let out = fill_after(&mut rig, 400);
+    let before = out.len();
+    assert!(before >= 6, "{before} in flight is too few to tell");
+    rig.wait(Span::from_ms(230.0));
+    for id in out {
+        rig.answer(id, 0, Outcome::Success, 230.0);
+    }
+    rig.wait(Span::from_ms(300.0));
+    let after = fill_after(&mut rig, 0).len();
+    assert!(after * 2 > before, "{after} in flight after one stand-still, {before} before");
+    rig.assert_rules();
+}
+
 /// An attempt turned away as full must not go round the fleet at once, again and again.
 #[test]
 fn full_servers_get_a_rest() {
