Let limits that were never cut grow within a few round trips to four a server

Evidence: at 5 s the busy agent of inc7490 had limits of 50 in all (2 a server at the start), 37 in flight and 57 held; at 15 s limits of 80 and nothing refused. The offered rate was the same. learn() adds GROWTH, a tenth of a request, in a round trip of a full limit, at the start as well, where nothing is known against the server.

Mend: until its first cut a limit in full use grows by half a request an answer up to four, then as before.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -63,8 +63,11 @@
 /// it always lets this share in, or it would never see a jam end.
 const ROUND_LEAST: usize = 4;
 const LEVEL_LEAST: f64 = 0.02;
-/// Own requests in flight that a server is first thought to bear, and the most it is ever given.
+/// Own requests in flight that a server is first thought to bear, what it is given soon (by `GROWTH_QUICK` an
+/// answer) if nothing speaks against it, and the most it is ever given.
 const LIMIT_FIRST: f64 = 2.0;
+const LIMIT_SOON: f64 = 4.0;
+const GROWTH_QUICK: f64 = 0.5;
 const LIMIT_MOST: f64 = 1000.0;
 /// Each request earns this much of a further attempt, saved up to the burst.
 const RETRY_EARN: f64 = 0.1;
@@ -693,7 +696,9 @@
             s.cut_at = if factor == LATE_CUT { now } else { s.cut_at };
             s.limit = (s.limit * factor).max(least);
             if over <= 0.0 && used < 1.0 && f64::from(own) + 1.0 >= (0.7 * s.limit).floor() {
-                s.limit = (s.limit + GROWTH / s.limit.max(1.0)).min(LIMIT_MOST);
+                let quick = s.cut_at == Time(0) && s.limit < LIMIT_SOON;
+                let growth = if quick { GROWTH_QUICK } else { GROWTH / s.limit.max(1.0) };
+                s.limit = (s.limit + growth).min(LIMIT_MOST);
             }
             // A full server rests in any case, or what it turns away would go round the fleet at once.
             (s.ended, s.took) = (now, elapsed.ms());
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -139,6 +139,16 @@
     out
 }
 
+/// At a tenth of a request a round trip a busy balancer refused for ten seconds what its servers could bear.
+#[test]
+fn a_limit_that_was_never_cut_grows_within_a_few_round_trips() {
+    let mut rig = Rig::new(settings(), 1);
+    rig.list(fleet(1, 1, 1));
+    let held = fill_after(&mut rig, 10).len();
+    assert!(held >= 4, "{held} in flight after ten round trips of 20 ms");
+    rig.assert_rules();
+}
+
 /// A server that stands still makes all that it holds late at once: that is one piece of news and not many.
 #[test]
 fn one_stand_still_is_one_cut() {
