Give clients two thirds of the descriptors, so that mute peers hold no accept up

The descriptors gave the answer: 230 and 254 of 384 when it happened. main.rs gave clients half of what 64 spare ones leave, 160; past that accept() waits for a place, so that requests and mute peers aged in the backlog.

Mend: 24 spare ones (the agent uses about a dozen), a third of the rest for the backends, which had 117 at once over two agents, and two thirds for clients: the terms let them use a third of all for requests, and the other peers have room beside them.

The test mute_peers_do_not_keep_the_application_out fails without the change.

--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -18,7 +18,10 @@
 use tokio::time::{sleep, Instant};
 
 /// Descriptors that are neither the application's nor the backends': files, discovery, the runtime's own.
-const SPARE_SOCKETS: usize = 64;
+const SPARE_SOCKETS: usize = 24;
+/// The part of the others that is the backends'. The application uses a third for its requests and no more
+/// attempts are out than that; what mute peers hold until they are let go comes on top of the application's.
+const BACKENDS_SHARE: usize = 3;
 /// Answers that are decided are written within this.
 const FLUSH: Duration = Duration::from_millis(30);
 
@@ -50,10 +53,11 @@
     let address = listener.local_addr().map_err(|e| format!("cannot listen on {listen}: {e}"))?;
     let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
     let name = config.name.clone();
-    let half = config.sockets.saturating_sub(SPARE_SOCKETS) / 2;
-    let driver = Driver::start(config, half).map_err(|e| e.to_string())?;
+    let sockets = config.sockets.saturating_sub(SPARE_SOCKETS);
+    let backends = sockets / BACKENDS_SHARE;
+    let driver = Driver::start(config, backends).map_err(|e| e.to_string())?;
     let mut driven = tokio::task::spawn_local(driver.clone().run());
-    let server = Server::new(driver.clone(), half);
+    let server = Server::new(driver.clone(), sockets - backends);
     let accepting = tokio::task::spawn_local(server.clone().accept(listener));
     eprintln!("{name}: listening on {address}");
 
--- a/agent/tests/service.rs
+++ b/agent/tests/service.rs
@@ -71,6 +71,27 @@
     assert!(backend.seen.try_recv().is_err(), "half a request went on");
 }
 
+/// Deploy, limits, and terms: the application has a third of the descriptors for its requests, and mute peers must
+/// not take them from it: its connection would wait in the backlog until one of theirs is closed.
+#[tokio::test]
+async fn mute_peers_do_not_keep_the_application_out() {
+    let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let directory = Directory::start(Mood::Mute).await;
+    let mut config = config(directory.address, &[host("s", backend.address, "up")]);
+    config["limits"]["sockets"] = 128.into();
+    let agent = Agent::with(config, |_| {}).await;
+    let mut mute = Vec::new();
+    for _ in 0..40 {
+        mute.push(agent.client().await);
+    }
+    assert_eq!(agent.get("/read").await.status(), 200);
+    let open = |peer: &Client| {
+        let read = peer.stream.try_read(&mut [0]);
+        matches!(read, Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
+    };
+    assert!(mute.iter().all(open), "the request waited for a mute peer's end");
+}
+
 #[tokio::test]
 async fn the_agent_is_ready_once_there_is_a_backend() {
     let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
