Ask for as many failures before suspicion as the fleet's own rate does not explain

Evidence: the count lines show 7 to 9 of 12 renderers suspect at once while limits stood at 76 (in flight 21 to 33, held 33, level 0.96): not the limits but the few renderers that were left refused. FAILURES, two in a row, is then chance, once in fifty to a hundred requests, and every such renderer left the draw.

Mend: learn() keeps the fleet's rate of lost attempts, and asks for as many failures in a row as chance brings no more often than 0.002 at that rate; two as before on a healthy fleet.

--- a/src/api.rs
+++ b/src/api.rs
@@ -522,6 +522,11 @@
 }
 
 impl Outcome {
+    /// True if the server or the way to it failed; neither a full queue nor lateness is that.
+    pub fn failure(self) -> bool {
+        matches!(self, Outcome::ServerError | Outcome::ConnectFailed | Outcome::ConnectionReset)
+    }
+
     /// True if this outcome proves that the request did not run.
     pub fn never_ran(self) -> bool {
         matches!(self, Outcome::Rejected | Outcome::ConnectFailed | Outcome::NotSent)
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -21,8 +21,12 @@
 const SLOW: f64 = 3.0;
 /// Answers needed before a server can be called slow; one costly request is no evidence.
 const SLOW_SAMPLES: u32 = 4;
-/// Failures in a row, with no success between, that make a server suspect.
-const FAILURES: u32 = 2;
+/// Failures in a row, with no success between, that make a server suspect: as many as chance brings no more
+/// often than this at the rate of the whole fleet, and no fewer than these.
+const BY_CHANCE: f64 = 0.002;
+const FAILURES: f64 = 2.0;
+/// Weight of a new answer in the fleet's rate of failures.
+const ILL_GAIN: f64 = 0.02;
 /// Failed connects to a zone in a row, to any of its servers, that tell of a cut link and not of a dead
 /// server.
 const ZONE_FAILURES: u32 = 2;
@@ -527,16 +531,6 @@
         cold + (1.0 - cold) * age / warm
     }
 
-    /// The usual answer time of a class in milliseconds.
-    fn usual(&self, class: usize) -> f64 {
-        (self.class_pace[class] * self.settings.classes[class].aim.ms()).max(0.001)
-    }
-
-    /// A guess at a request's work: the hint, else the usual answer time of its class.
-    fn work(&self, live: &Live) -> f64 {
-        live.request.cost_hint.map_or_else(|| self.usual(live.request.class.0), Span::ms)
-    }
-
     // ---- what follows an outcome --------------------------------------------------------------------
 
     fn outcome(
@@ -721,7 +715,11 @@
         }
         let slow = s.samples >= SLOW_SAMPLES && s.pace > SLOW * median && s.pace > TARGET;
         let late = self.blind && used >= 1.0 && outcome != Outcome::Rejected;
-        if s.failures >= FAILURES || slow || late || (self.blind && s.failures > 0) {
+        // The fleet's rate is of before this answer, or the first few failures would hide themselves.
+        let row = (BY_CHANCE.ln() / self.ill.clamp(1e-6, 0.6).ln()).ceil().max(FAILURES);
+        let failed = outcome.failure();
+        self.ill += if failed || used > 0.0 { ILL_GAIN * (f64::from(failed) - self.ill) } else { 0.0 };
+        if f64::from(s.failures) >= row || slow || late || (self.blind && s.failures > 0) {
             self.suspect(now, flight.server, if slow { "slow" } else { "failing" }, out);
         }
     }
--- a/src/records.rs
+++ b/src/records.rs
@@ -201,6 +201,8 @@
     /// Classes that are refused last.
     pub(crate) spared: Vec<bool>,
     pub(crate) median: f64,
+    /// The share of lost attempts among those of servers that are not suspect, of late.
+    pub(crate) ill: f64,
     /// Scales all limits: a balancer sees few answers of each server but many of the fleet, so a jam of most
     /// servers is answered within a few round trips, where the single limits would take half a minute.
     pub(crate) level: f64,
@@ -246,6 +248,7 @@
             counted_at: Time(0),
             spared: vec![false; classes],
             median: 0.2,
+            ill: 0.0,
             level: 1.0,
             crowd: 0.0,
             tell_bytes: 0.0,
@@ -272,6 +275,16 @@
         }
     }
 
+    /// The usual answer time of a class in milliseconds.
+    pub(crate) fn usual(&self, class: usize) -> f64 {
+        (self.class_pace[class] * self.settings.classes[class].aim.ms()).max(0.001)
+    }
+
+    /// A guess at a request's work: the hint, else the usual answer time of its class.
+    pub(crate) fn work(&self, live: &Live) -> f64 {
+        live.request.cost_hint.map_or_else(|| self.usual(live.request.class.0), Span::ms)
+    }
+
     /// The state behind the decisions in one line, for a log.
     pub fn summary(&self) -> String {
         let serving = || self.serving.iter().map(|&i| &self.servers[i]);
--- a/tests/suspects.rs
+++ b/tests/suspects.rs
@@ -140,3 +140,26 @@
     let sent = serve(&mut rig, 4, 40, |_| (Outcome::Success, 20.0));
     assert!(sent.iter().sum::<u32>() >= 40, "{sent:?}");
 }
+
+/// Where every seventh answer of the whole fleet is an error, two in a row are chance: once most of a healthy fleet
+/// was suspect then. A server that gives nothing but errors still is.
+#[test]
+fn errors_of_the_whole_fleet_make_no_server_suspect() {
+    let mut rig = Rig::new(Settings { classes: vec![class(Effect::AtMostOnce)], ..Settings::default() }, 5);
+    rig.list(fleet(12, 1, 1));
+    let mut dice = fastrand::Rng::with_seed(9);
+    let mut suspects = [0; 12];
+    for _ in 0..3000 {
+        let (id, Some(server)) = rig.ask(0) else { continue };
+        rig.wait(Span::from_ms(20.0));
+        let ill = server == ServerId(0) || dice.u32(0..7) == 0;
+        let outcome = if ill { Outcome::ServerError } else { Outcome::Success };
+        for action in rig.answer(id, 0, outcome, 20.0).to_vec() {
+            if matches!(action, Action::Log { text } if text.contains("failing")) {
+                suspects[server.0 as usize] += 1;
+            }
+        }
+    }
+    assert!(suspects[0] > 0, "the ill one: {suspects:?}");
+    assert!(suspects[1..].iter().sum::<u32>() < 10, "the others: {suspects:?}");
+}
