Write each log line in one piece

The inherited test running_out_of_descriptors_is_survived failed once in some ten runs of the suite, with a listening address that could not be parsed. Standard error is not buffered and eprintln! writes each part of a format by itself, so a reader could see a line without its end; the test took a new-line of an earlier line for that of this one. It also panics where standard error is gone, which would end a running agent.

Lines are now formatted first and written at once, and a log that nobody takes is passed over.

--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -5,7 +5,7 @@
 
 use crate::config::Config;
 use crate::discovery::{Discovery, Health, List};
-use crate::log::{self, End, Log, Tried};
+use crate::log::{self, log_line, End, Log, Tried};
 use crate::upstream::{Ended, Progress, Upstream};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -284,7 +284,7 @@
     fn write_counts(&self) {
         let mut state = self.state.borrow_mut();
         if let Some(counts) = state.log.counts(Instant::now()) {
-            eprintln!("{counts}; connections {}; {}", self.upstream.held(), state.balancer.summary());
+            log_line!("{counts}; connections {}; {}", self.upstream.held(), state.balancer.summary());
         }
     }
 
@@ -333,7 +333,7 @@
             Action::FetchList => state.discovery.fetch(self),
             // Agents of this deployment have no way to talk to each other, and the settings say so.
             Action::Tell { .. } => {}
-            Action::Log { text } => eprintln!("{text}"),
+            Action::Log { text } => log_line!("{text}"),
         }
     }
 
@@ -468,7 +468,7 @@
             End::Gone => "gone",
         };
         let (parts, ms) = (&open.parts, |time: Duration| time.as_secs_f64() * 1e3);
-        eprintln!(
+        log_line!(
             "request {:.64} {} {how} after {:.1} of {:.1} ms, sent {}:{}",
             parts.name,
             names.classes.get(parts.class.0).map_or("", String::as_str),
@@ -497,7 +497,7 @@
         while self.names.contains_key(&ServerId(id)) {
             id = id.wrapping_add(1);
         }
-        eprintln!("server {id} is {name}");
+        log_line!("server {id} is {name}");
         self.names.insert(ServerId(id), name.to_owned());
         self.servers.insert(name.to_owned(), ServerId(id));
         ServerId(id)
--- a/agent/src/log.rs
+++ b/agent/src/log.rs
@@ -12,6 +12,16 @@
 const PERIOD: Duration = Duration::from_secs(5);
 const OUTCOMES: usize = 8;
 
+/// Writes one line to the log, whole or not at all, since standard error takes each part of a format as it comes
+/// and a reader would see half of a line. A log that nobody takes must not end the agent.
+macro_rules! log_line {
+    ($($text:tt)*) => {{
+        use std::io::Write as _;
+        let _ = std::io::stderr().write_all(format!("{}\n", format_args!($($text)*)).as_bytes());
+    }};
+}
+pub(crate) use log_line;
+
 /// An attempt that served nothing, kept while its request is open.
 pub struct Tried {
     /// The server's name in the list.
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -10,6 +10,7 @@
 
 use config::Config;
 use driver::Driver;
+use log::log_line;
 use server::Server;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -29,7 +30,7 @@
     match start() {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
-            eprintln!("bellcroft: {why}");
+            log_line!("bellcroft: {why}");
             ExitCode::from(2)
         }
     }
@@ -59,18 +60,18 @@
     let mut driven = tokio::task::spawn_local(driver.clone().run());
     let server = Server::new(driver.clone(), sockets - backends);
     let accepting = tokio::task::spawn_local(server.clone().accept(listener));
-    eprintln!("{name}: listening on {address}");
+    log_line!("{name}: listening on {address}");
 
     loop {
         tokio::select! {
             _ = term.recv() => break,
             _ = hangup.recv() => match Config::discovery_now(|name| std::env::var(name).ok()) {
                 Ok(discovery) => {
-                    eprintln!("{name}: discovery is at {discovery} now");
+                    log_line!("{name}: discovery is at {discovery} now");
                     driver.discovery_moved(discovery);
                 }
                 // What was known still stands: a bad file must not end a running agent.
-                Err(why) => eprintln!("{name}: the new configuration is not taken: {why}"),
+                Err(why) => log_line!("{name}: the new configuration is not taken: {why}"),
             },
             // Without its clock the agent would take requests and answer none: better that it ends and is
             // restarted.
@@ -90,6 +91,6 @@
         }
     }
     sleep(FLUSH).await;
-    eprintln!("{name}: all is answered");
+    log_line!("{name}: all is answered");
     Ok(())
 }
