Answer health and counters at a second address from figures counted once

operator.rs listens where `operator` or $PROXY_OPERATOR says and answers health and counters; figures.rs counts; log.rs loses its own counts. Attempts count as sent when the kernel has taken their last byte (Counted::wrote).

The tests of agent/tests/operator.rs cannot connect without the part; the guard's test fails if an end is counted twice.

--- a/agent/src/config.rs
+++ b/agent/src/config.rs
@@ -22,6 +22,8 @@
     pub listen: SocketAddr,
     /// Where discovery answers.
     pub discovery: SocketAddr,
+    /// Where the operators' staff call, if they do.
+    pub operator: Option<SocketAddr>,
     /// The seed for random numbers.
     pub seed: u64,
     /// Descriptors that the process may hold.
@@ -43,6 +45,8 @@
     #[serde(default)]
     discovery: Option<String>,
     #[serde(default)]
+    operator: Option<String>,
+    #[serde(default)]
     seed: Option<String>,
     #[serde(default)]
     limits: Limits,
@@ -79,12 +83,16 @@
     }
 
     fn from_file(file: File, var: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
-        let address = |name: &str, own: Option<String>| {
-            let text = var(name).or(own).ok_or_else(|| format!("{name} is not set"))?;
+        let parse = |name: &str, text: String| {
             text.parse::<SocketAddr>().map_err(|_| format!("{name} is {text:?}; an address was expected"))
         };
+        let address = |name: &str, own: Option<String>| {
+            parse(name, var(name).or(own).ok_or_else(|| format!("{name} is not set"))?)
+        };
         let listen = address("PROXY_LISTEN", file.listen)?;
         let discovery = address("PROXY_DISCOVERY", file.discovery)?;
+        let operator = var("PROXY_OPERATOR").or(file.operator).filter(|text| !text.is_empty());
+        let operator = operator.map(|text| parse("PROXY_OPERATOR", text)).transpose()?;
         let settings = micasail_settings::settings(&file.settings);
         settings.check().map_err(|e| e.to_string())?;
         let names = micasail_settings::names(&file.settings);
@@ -103,6 +111,7 @@
             name: var("PROXY_NAME").or(file.name).unwrap_or_else(|| "agent".into()),
             listen,
             discovery,
+            operator,
             // Any text makes a seed; only the form of the deployment's own is read as a number.
             seed: u64::from_str_radix(&seed, 16).unwrap_or_else(|_| micasail_settings::fnv1a(&seed)),
             sockets: file.limits.sockets.unwrap_or(SOCKETS).min(SOCKETS_MOST),
--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -5,7 +5,8 @@
 
 use crate::config::Config;
 use crate::discovery::{Discovery, Health, List};
-use crate::log::{self, log_line, End, Log, Tried};
+use crate::figures::{self, End, Figures, Taken};
+use crate::log::{self, log_line, Log, Tried};
 use crate::upstream::{Ended, Progress, Upstream};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -97,7 +98,7 @@
 struct Open {
     answer: oneshot::Sender<Answer>,
     parts: Rc<Arrival>,
-    sends: u32,
+    taken: Taken,
     timed_out: bool,
     /// Attempts that served nothing, for the log.
     tried: Vec<Tried>,
@@ -128,6 +129,7 @@
     pub names: Names,
     /// What each class would do twice, by its number.
     pub effects: Vec<Effect>,
+    figures: Rc<Figures>,
     upstream: Rc<Upstream>,
     state: RefCell<State>,
     wake: Notify,
@@ -138,8 +140,10 @@
     pub fn start(config: Config, connections: usize) -> Result<Rc<Self>, SettingsError> {
         let clock = Clock::start();
         let effects = config.settings.classes.iter().map(|c| c.effect).collect();
+        let figures = Figures::new(config.names.classes.len());
         let upstream = Rc::new(Upstream::new(
             connections,
+            figures.clone(),
             Duration::from_micros(config.names.connect_timeout.0),
             Duration::from_micros(config.names.keepalive.0),
             config.names.report_fields.clone(),
@@ -167,6 +171,7 @@
             clock,
             names: config.names,
             effects,
+            figures,
             upstream,
             state: RefCell::new(state),
             wake: Notify::new(),
@@ -192,6 +197,17 @@
         !self.state.borrow().up.is_empty()
     }
 
+    /// Whether this process takes clients.
+    pub fn serves(&self) -> bool {
+        self.ready()
+    }
+
+    /// The figures as the operators read them.
+    pub fn figures(&self) -> serde_json::Value {
+        let fleet = self.state.borrow().balancer.fleet();
+        figures::report(&self.figures.now(), &self.names.classes, fleet.listed, fleet.avoided)
+    }
+
     /// Hands a request to the balancer; its answer comes over the channel.
     pub fn submit(self: &Rc<Self>, arrival: Arrival) -> (RequestId, oneshot::Receiver<Answer>) {
         let (answer, receiver) = oneshot::channel();
@@ -208,9 +224,9 @@
                 repeat: arrival.repeat,
                 time_left: self.clock.at(arrival.deadline).since(self.clock.now()),
             };
-            state.log.arrived();
+            let taken = self.figures.take(arrival.class.0);
             let parts = Rc::new(arrival);
-            state.open.insert(id, Open { answer, parts, sends: 0, timed_out: false, tried: Vec::new() });
+            state.open.insert(id, Open { answer, parts, taken, timed_out: false, tried: Vec::new() });
             state.queue.push_back(Event::Request(request));
             id
         };
@@ -224,8 +240,8 @@
         {
             let mut state = self.state.borrow_mut();
             let Some(open) = state.open.remove(&id) else { return };
-            state.stop_unwritten(id, open.sends);
-            state.note(&open, End::Gone, &self.names);
+            state.stop_unwritten(id, open.taken.sends);
+            state.note(open, End::Gone, &self.names);
             state.queue.push_back(Event::ClientGone { request: id });
         }
         self.pump();
@@ -283,7 +299,7 @@
     /// Writes the counts of the last seconds when they are due, with what the balancer makes of its servers.
     fn write_counts(&self) {
         let mut state = self.state.borrow_mut();
-        if let Some(counts) = state.log.counts(Instant::now()) {
+        if let Some(counts) = state.log.counts(Instant::now(), &self.figures) {
             log_line!("{counts}; connections {}; {}", self.upstream.held(), state.balancer.summary());
         }
     }
@@ -339,8 +355,8 @@
 
     fn send(self: &Rc<Self>, state: &mut State, request: RequestId, server: ServerId, timeout_at: Time) {
         let Some(open) = state.open.get_mut(&request) else { return };
-        let attempt = open.sends;
-        open.sends += 1;
+        let attempt = open.taken.sends;
+        open.taken.sends += 1;
         let sent = Instant::now();
         let until = self.clock.instant(timeout_at);
         let outgoing = outgoing(&open.parts, until.saturating_duration_since(sent));
@@ -359,7 +375,7 @@
         {
             let mut state = self.state.borrow_mut();
             state.attempts.remove(&key);
-            state.log.attempt(ended.outcome);
+            self.figures.attempt(ended.outcome);
             if let Some((kind, body)) = ended.answer {
                 state.answer(key.0, Answer::Served(kind, body), &self.names);
             }
@@ -442,24 +458,26 @@
     /// Gives a request its final answer. What of it has not been written to a backend stays unwritten.
     fn answer(&mut self, id: RequestId, answer: Answer, names: &Names) {
         let Some(open) = self.open.remove(&id) else { return };
-        self.stop_unwritten(id, open.sends);
+        self.stop_unwritten(id, open.taken.sends);
         let end = match &answer {
             Answer::Served(..) => End::Served,
             Answer::Refused(_) => End::Refused,
             Answer::Failed(_) => End::Failed,
         };
-        self.note(&open, end, names);
+        let tell = self.note(open, end, names);
         // A client that left at this very moment hears nothing.
-        let _ = open.answer.send(answer);
+        let _ = tell.send(answer);
     }
 
     /// Counts the end of a request, and logs one that did not go well under the application's name for it.
-    fn note(&mut self, open: &Open, end: End, names: &Names) {
+    fn note(&mut self, open: Open, end: End, names: &Names) -> oneshot::Sender<Answer> {
         let now = Instant::now();
-        self.log.ended(end, open.sends);
+        let Open { answer, parts, taken, tried, .. } = open;
+        let sends = taken.sends;
+        taken.end(end);
         // Served at last is worth a line too, if only after an attempt that was lost.
-        if (matches!(end, End::Served) && open.tried.is_empty()) || !self.log.room(now) {
-            return;
+        if (matches!(end, End::Served) && tried.is_empty()) || !self.log.room(now) {
+            return answer;
         }
         let how = match end {
             End::Served => "served",
@@ -467,16 +485,17 @@
             End::Failed => "failed",
             End::Gone => "gone",
         };
-        let (parts, ms) = (&open.parts, |time: Duration| time.as_secs_f64() * 1e3);
+        let ms = |time: Duration| time.as_secs_f64() * 1e3;
         log_line!(
             "request {:.64} {} {how} after {:.1} of {:.1} ms, sent {}:{}",
             parts.name,
             names.classes.get(parts.class.0).map_or("", String::as_str),
             ms(now.saturating_duration_since(parts.came)),
             ms(parts.deadline.saturating_duration_since(parts.came)),
-            open.sends,
-            log::attempts(&open.tried),
+            sends,
+            log::attempts(&tried),
         );
+        answer
     }
 
     fn stop_unwritten(&self, id: RequestId, sends: u32) {
--- /dev/null
+++ b/agent/src/figures.rs
@@ -0,0 +1,171 @@
+//! What the agent has done since its start, counted once, where it happens. The second address shows these figures
+//! and the log writes how they have moved, so that both tell the same story.
+
+use micasail::Outcome;
+use serde_json::{json, Map, Value};
+use std::cell::RefCell;
+use std::rc::Rc;
+
+pub const OUTCOMES: usize = 8;
+
+/// How a request ended.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum End {
+    /// With a backend's answer.
+    Served,
+    /// Refused.
+    Refused,
+    /// Failed.
+    Failed,
+    /// The client left, or its time ran out undecided; a failure as well.
+    Gone,
+}
+
+/// The ends of one class.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Ends {
+    pub served: u64,
+    pub refused: u64,
+    pub failed: u64,
+}
+
+/// All counts since the start.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Counts {
+    /// Requests that have come whole.
+    pub taken: u64,
+    /// How they ended, by class.
+    pub ends: Vec<Ends>,
+    /// The refused ones for which no attempt was sent.
+    pub refused_unsent: u64,
+    /// The failed ones whose client had left.
+    pub gone: u64,
+    /// Attempts written whole to a backend.
+    pub sends: u64,
+    /// Attempts by their outcome.
+    pub outcomes: [u64; OUTCOMES],
+}
+
+impl Counts {
+    /// One kind of end, over all classes.
+    pub fn total(&self, kind: impl Fn(&Ends) -> u64) -> u64 {
+        self.ends.iter().map(kind).sum()
+    }
+
+    /// Requests that are taken and not ended.
+    pub fn current(&self) -> u64 {
+        self.taken.saturating_sub(self.total(|e| e.served + e.refused + e.failed))
+    }
+}
+
+/// The counts, shared by all that count.
+pub struct Figures(RefCell<Counts>);
+
+impl Figures {
+    /// Has counted nothing yet.
+    pub fn new(classes: usize) -> Rc<Self> {
+        Rc::new(Figures(RefCell::new(Counts { ends: vec![Ends::default(); classes], ..Counts::default() })))
+    }
+
+    /// The counts as they are now.
+    pub fn now(&self) -> Counts {
+        self.0.borrow().clone()
+    }
+
+    /// A request of this class is the agent's from here to its end.
+    pub fn take(self: &Rc<Self>, class: usize) -> Taken {
+        self.0.borrow_mut().taken += 1;
+        Taken { figures: self.clone(), class, end: End::Gone, sends: 0 }
+    }
+
+    /// The last byte of an attempt has been written.
+    pub fn sent(&self) {
+        self.0.borrow_mut().sends += 1;
+    }
+
+    /// An attempt has ended.
+    pub fn attempt(&self, outcome: Outcome) {
+        self.0.borrow_mut().outcomes[outcome as usize % OUTCOMES] += 1;
+    }
+
+    fn ended(&self, class: usize, end: End, sends: u32) {
+        let mut counts = self.0.borrow_mut();
+        counts.refused_unsent += u64::from(end == End::Refused && sends == 0);
+        counts.gone += u64::from(end == End::Gone);
+        let Some(ends) = counts.ends.get_mut(class) else { return };
+        match end {
+            End::Served => ends.served += 1,
+            End::Refused => ends.refused += 1,
+            End::Failed | End::Gone => ends.failed += 1,
+        }
+    }
+}
+
+/// A request that is taken. It is counted as ended exactly once: there is no way to end it twice, and one that
+/// is dropped without a word has lost its client.
+pub struct Taken {
+    figures: Rc<Figures>,
+    class: usize,
+    end: End,
+    /// Attempts so far.
+    pub sends: u32,
+}
+
+impl Taken {
+    /// It has ended.
+    pub fn end(mut self, end: End) {
+        self.end = end;
+    }
+}
+
+impl Drop for Taken {
+    fn drop(&mut self) {
+        self.figures.ended(self.class, self.end, self.sends);
+    }
+}
+
+/// The figures as the operators read them.
+pub fn report(counts: &Counts, classes: &[String], listed: usize, avoided: usize) -> Value {
+    let by_class = |kind: fn(&Ends) -> u64| -> Map<String, Value> {
+        classes.iter().zip(&counts.ends).map(|(name, ends)| (name.clone(), kind(ends).into())).collect()
+    };
+    json!({
+        "answered": by_class(|e| e.served),
+        "deferred": by_class(|e| e.refused),
+        "errored": by_class(|e| e.failed),
+        "sends": counts.sends,
+        "current": counts.current(),
+        "cluster_size": listed,
+        "cluster_unhealthy": avoided,
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_request_ends_in_exactly_one_way() {
+        let figures = Figures::new(2);
+        let mut taken: Vec<Taken> = [0, 0, 1, 1, 1].map(|class| figures.take(class)).into();
+        assert_eq!(figures.now().current(), 5);
+        taken.pop().expect("one").end(End::Served);
+        taken.pop().expect("one").end(End::Refused);
+        let mut sent = taken.pop().expect("one");
+        sent.sends = 1;
+        sent.end(End::Refused);
+        taken.pop().expect("one").end(End::Failed);
+        assert_eq!(figures.now().current(), 1);
+        drop(taken);
+        figures.sent();
+        let counts = figures.now();
+        assert_eq!((counts.current(), counts.refused_unsent, counts.gone), (0, 1, 1));
+        assert_eq!(counts.total(|e| e.served + e.refused + e.failed), counts.taken);
+        let told = report(&counts, &["a".into(), "b".into()], 3, 1);
+        assert_eq!(told["answered"], json!({"a": 0, "b": 1}));
+        assert_eq!(told["deferred"], json!({"a": 0, "b": 2}));
+        assert_eq!(told["errored"], json!({"a": 2, "b": 0}));
+        assert_eq!((&told["sends"], &told["current"]), (&json!(1), &json!(0)));
+        assert_eq!((&told["cluster_size"], &told["cluster_unhealthy"]), (&json!(3), &json!(1)));
+    }
+}
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -4,7 +4,9 @@
 mod config;
 mod discovery;
 mod driver;
+mod figures;
 mod log;
+mod operator;
 mod server;
 mod upstream;
 
@@ -54,12 +56,17 @@
     let address = listener.local_addr().map_err(|e| format!("cannot listen on {listen}: {e}"))?;
     let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
     let name = config.name.clone();
-    let sockets = config.sockets.saturating_sub(SPARE_SOCKETS);
+    let operator = config.operator;
+    let apart = SPARE_SOCKETS + operator.map_or(0, |_| operator::SOCKETS);
+    let sockets = config.sockets.saturating_sub(apart);
     let backends = sockets / BACKENDS_SHARE;
     let driver = Driver::start(config, backends).map_err(|e| e.to_string())?;
     let mut driven = tokio::task::spawn_local(driver.clone().run());
     let server = Server::new(driver.clone(), sockets - backends);
     let accepting = tokio::task::spawn_local(server.clone().accept(listener));
+    if let Some(operator) = operator {
+        tokio::task::spawn_local(operator::listen(driver.clone(), operator));
+    }
     log_line!("{name}: listening on {address}");
 
     loop {
--- /dev/null
+++ b/agent/src/operator.rs
@@ -0,0 +1,114 @@
+//! The second address, for the operators' staff: one line a connection, one answer. It reads the call and words
+//! the answer; what a call means is the driver's and the decisions' to say.
+
+use crate::driver::Driver;
+use crate::log::log_line;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, timeout};
+
+/// Connections that are held at a time. One more closes the oldest: a call is answered as it comes, so an old one
+/// has no whole call yet.
+const CALLERS_MOST: usize = 32;
+/// Descriptors that are set aside for them, for the listener and for one that is just being accepted.
+pub const SOCKETS: usize = CALLERS_MOST + 2;
+/// The longest call; no name of a renderer is nearly as long.
+const LINE_MOST: usize = 1024;
+/// A call that is not whole by then is given up.
+const LINE_WAIT: Duration = Duration::from_secs(6);
+/// What a caller gets to read its answer and to close.
+const ANSWER_WAIT: Duration = Duration::from_secs(2);
+/// Pause after a bind or an accept that failed.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Listens there for as long as the agent runs. An address that is not to be had costs no client its service: it is
+/// asked for again until it is.
+pub async fn listen(driver: Rc<Driver>, address: SocketAddr) {
+    let mut told = false;
+    let listener = loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => break listener,
+            Err(why) if !told => {
+                told = true;
+                log_line!("operator: cannot listen on {address} yet: {why}");
+            }
+            Err(_) => {}
+        }
+        sleep(PAUSE).await;
+    };
+    log_line!("operator: answers on {}", listener.local_addr().unwrap_or(address));
+    let mut callers: VecDeque<JoinHandle<()>> = VecDeque::new();
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(PAUSE).await;
+            continue;
+        };
+        callers.retain(|caller| !caller.is_finished());
+        if callers.len() >= CALLERS_MOST {
+            callers.pop_front().inspect(|oldest| oldest.abort());
+        }
+        callers.push_back(tokio::task::spawn_local(caller(driver.clone(), stream)));
+    }
+}
+
+async fn caller(driver: Rc<Driver>, mut stream: TcpStream) {
+    let answer = match timeout(LINE_WAIT, line(&mut stream)).await {
+        Ok(Some(Ok(call))) => answer(&driver, &call),
+        Ok(Some(Err(why))) => format!("error {why}\n"),
+        Ok(None) => return,
+        Err(_) => "error no whole line in time\n".to_owned(),
+    };
+    // A caller that has gone hears nothing; one that sends on is read to its end, or the close would take the
+    // answer back from it.
+    let _ = timeout(ANSWER_WAIT, async {
+        stream.write_all(answer.as_bytes()).await?;
+        stream.shutdown().await?;
+        let mut rest = [0; 256];
+        while stream.read(&mut rest).await? > 0 {}
+        std::io::Result::Ok(())
+    })
+    .await;
+}
+
+/// The one line of a connection, without its end; `None` if its caller left without a word.
+async fn line(stream: &mut TcpStream) -> Option<Result<String, &'static str>> {
+    let mut bytes = Vec::new();
+    let mut piece = [0; 256];
+    loop {
+        let n = stream.read(&mut piece).await.ok()?;
+        if n == 0 {
+            // Half of a name may be another name: what is not whole is not carried out.
+            return (!bytes.is_empty()).then_some(Err("the line has no end"));
+        }
+        bytes.extend_from_slice(&piece[..n]);
+        if let Some(end) = bytes.iter().position(|b| *b == b'\n') {
+            bytes.truncate(end);
+            return Some(String::from_utf8(bytes).map_err(|_| "the line is no text"));
+        }
+        if bytes.len() > LINE_MOST {
+            return Some(Err("the line is too long"));
+        }
+    }
+}
+
+/// The answer to a call, whole.
+fn answer(driver: &Rc<Driver>, call: &str) -> String {
+    let words: Vec<&str> = call.split_whitespace().collect();
+    let answer = match words[..] {
+        ["health"] if driver.serves() => Ok("done".to_owned()),
+        ["health"] => Err("no clients are taken yet".to_owned()),
+        ["counters"] => return format!("{}\nend\n", driver.figures()),
+        ["health" | "counters", ..] => Err("this call stands alone".to_owned()),
+        [] => Err("an empty line; calls are health, counters".to_owned()),
+        [other, ..] => Err(format!("no call {other:.40}; calls are health, counters")),
+    };
+    match answer {
+        Ok(said) => said + "\n",
+        Err(why) => format!("error {why}\n"),
+    }
+}
--- a/agent/src/upstream.rs
+++ b/agent/src/upstream.rs
@@ -4,6 +4,7 @@
 //! an exchange (a time-out, a cancel, an error) ends its connection with it.
 
 use crate::discovery::{Health, Host};
+use crate::figures::Figures;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{handshake, SendRequest};
@@ -43,6 +44,8 @@
 struct Wire {
     written: Cell<u64>,
     shut: Cell<bool>,
+    /// The count at which the attempt that is under way is out whole, and where that is told.
+    whole: RefCell<Option<(u64, Rc<Figures>)>>,
 }
 
 /// A socket that counts what the kernel has taken, so that the fate of a broken attempt is known.
@@ -53,7 +56,11 @@
 
 impl Counted {
     fn wrote(&self, n: usize) -> usize {
-        self.wire.written.set(self.wire.written.get() + n as u64);
+        let written = self.wire.written.get() + n as u64;
+        self.wire.written.set(written);
+        if let Some((_, figures)) = self.wire.whole.borrow_mut().take_if(|(whole, _)| written >= *whole) {
+            figures.sent();
+        }
         n
     }
 
@@ -196,6 +203,7 @@
     remotes: RefCell<HashMap<ServerId, Remote>>,
     held: Rc<Cell<usize>>,
     most: usize,
+    figures: Rc<Figures>,
     connect_timeout: Duration,
     idle_most: Duration,
     fields: Vec<String>,
@@ -203,11 +211,18 @@
 
 impl Upstream {
     /// Knows no backend yet; holds at most `most` connections.
-    pub fn new(most: usize, connect_timeout: Duration, keepalive: Duration, fields: Vec<String>) -> Self {
+    pub fn new(
+        most: usize,
+        figures: Rc<Figures>,
+        connect_timeout: Duration,
+        keepalive: Duration,
+        fields: Vec<String>,
+    ) -> Self {
         Upstream {
             remotes: RefCell::default(),
             held: Rc::default(),
             most,
+            figures,
             connect_timeout,
             idle_most: keepalive.mul_f64(IDLE_SHARE),
             fields,
@@ -338,6 +353,7 @@
             }
             let whole = connection.wire.written.get() + length(&request);
             *progress.wire.borrow_mut() = Some((connection.wire.clone(), whole));
+            *connection.wire.whole.borrow_mut() = Some((whole, self.figures.clone()));
             progress.idled.set((connection.wire.written.get() > 0).then(|| connection.idle_since.elapsed()));
             self.exchange(connection, request).await.map_err(|why| (None, why))
         };
@@ -513,7 +529,7 @@
         let list = crate::discovery::parse_list(&list).expect("a list");
         let wait = Duration::from_secs(10);
         for (places, outcome) in [(0, Outcome::NotSent), (1, Outcome::ConnectFailed)] {
-            let upstream = Rc::new(Upstream::new(places, wait, wait, Vec::new()));
+            let upstream = Rc::new(Upstream::new(places, Figures::new(1), wait, wait, Vec::new()));
             upstream.describe(ServerId(1), &list.hosts[0]);
             let request = Request::get("/a").header("host", "s").body(Full::default()).expect("a request");
             let until = Instant::now() + wait;
--- a/agent/tests/common/mod.rs
+++ b/agent/tests/common/mod.rs
@@ -231,6 +231,8 @@
 /// The real program.
 pub struct Agent {
     pub address: SocketAddr,
+    /// Its second address, if it was given one.
+    pub operator: Option<SocketAddr>,
     pub child: Child,
     file: PathBuf,
 }
@@ -268,6 +270,7 @@
 
     pub async fn with(config: Value, adapt: impl FnOnce(&mut Command)) -> Self {
         let file = write_config(&config.to_string());
+        let operator = config["operator"].as_str().map(|text| text.parse().expect("an address"));
         let mut command = command(&file);
         adapt(&mut command);
         let mut child = command.spawn().expect("the program starts");
@@ -280,7 +283,7 @@
         };
         // Someone must read on, or a full pipe would stop the agent.
         tokio::spawn(async move { while let Ok(Some(_)) = log.next_line().await {} });
-        Agent { address, child, file }
+        Agent { address, operator, child, file }
     }
 
     pub async fn client(&self) -> Client {
@@ -291,6 +294,36 @@
         self.client().await.ask(&request("GET", path, "5000m", "")).await
     }
 
+    /// A connection to the second address, which is bound soon after the first.
+    pub async fn operator(&self) -> TcpStream {
+        let address = self.operator.expect("a second address");
+        soon("the second address", async {
+            loop {
+                match TcpStream::connect(address).await {
+                    Ok(stream) => return stream,
+                    Err(_) => tokio::time::sleep(Duration::from_millis(5)).await,
+                }
+            }
+        })
+        .await
+    }
+
+    /// What the agent says to this call at its second address.
+    pub async fn call(&self, call: &str) -> String {
+        let mut stream = self.operator().await;
+        stream.write_all(format!("{call}\n").as_bytes()).await.expect("the agent reads");
+        let mut answer = String::new();
+        soon("an answer", stream.read_to_string(&mut answer)).await.expect("text");
+        answer
+    }
+
+    pub async fn counters(&self) -> Value {
+        let answer = self.call("counters").await;
+        let (figures, end) = answer.split_once('\n').expect("lines");
+        assert_eq!(end, "end\n");
+        serde_json::from_str(figures).expect("figures")
+    }
+
     pub async fn ready(&self) {
         soon("readiness", async {
             while self.client().await.ask("GET /ready HTTP/1.1\r\n\r\n").await.status() != 200 {
--- /dev/null
+++ b/agent/tests/operator.rs
@@ -0,0 +1,109 @@
+//! The second address: what the operators' staff call, and what they are told.
+
+mod common;
+use common::*;
+use serde_json::{json, Value};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+async fn operated(hosts: &[Value], directory: &Directory) -> Agent {
+    let mut config = config(directory.address, hosts);
+    config["operator"] = nobody().await.to_string().into();
+    Agent::with(config, |_| {}).await
+}
+
+#[tokio::test]
+async fn figures_tell_how_each_request_ended() {
+    let backend = Backend::start(|m| match m.first_line().split(' ').nth(1) {
+        Some("/read") => Reply::Bytes(ok("x")),
+        Some("/save") => Reply::Mute,
+        _ => Reply::Bytes(b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n".to_vec()),
+    })
+    .await;
+    let directory = Directory::start(Mood::Mute).await;
+    let agent =
+        operated(&[host("s", backend.address, "up"), host("t", backend.address, "draining")], &directory)
+            .await;
+    for _ in 0..3 {
+        assert_eq!(agent.get("/read").await.status(), 200);
+    }
+    assert_eq!(agent.client().await.ask(&request("POST", "/pay", "2000m", "")).await.status(), 502);
+    let mut waits = agent.client().await;
+    waits.send(&request("POST", "/save", "9000m", "")).await;
+    let told = soon("the request to be taken", async {
+        loop {
+            let told = agent.counters().await;
+            if told["current"] == 1 && told["sends"] == 5 {
+                return told;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    })
+    .await;
+    assert_eq!(told["answered"], json!({"read": 3, "save": 0, "pay": 0}));
+    assert_eq!(told["deferred"], json!({"read": 0, "save": 0, "pay": 0}));
+    assert_eq!(told["errored"], json!({"read": 0, "save": 0, "pay": 1}));
+    assert_eq!((&told["cluster_size"], &told["cluster_unhealthy"]), (&json!(2), &json!(1)));
+}
+
+#[tokio::test]
+async fn health_is_a_yes_once_clients_are_taken() {
+    let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let directory = Directory::start(Mood::Mute).await;
+    let agent = operated(&[], &directory).await;
+    assert!(agent.call("health").await.starts_with("error "));
+    directory.list(2, &[host("s", backend.address, "up")]);
+    agent.ready().await;
+    assert_eq!(agent.call("health").await, "done\n");
+}
+
+#[tokio::test]
+async fn calls_that_make_no_sense_are_told_so() {
+    let directory = Directory::start(Mood::Mute).await;
+    let agent = operated(&[], &directory).await;
+    let long = "x".repeat(5000);
+    for call in ["", "  ", "heal", "HEALTH", "health now", "counters all", "\u{7}", &long] {
+        let answer = agent.call(call).await;
+        assert!(
+            answer.starts_with("error ") && answer.ends_with('\n') && answer.len() < 200,
+            "{call}: {answer}"
+        );
+    }
+    let mut half = agent.operator().await;
+    half.write_all(b"health").await.expect("sent");
+    half.shutdown().await.expect("shut");
+    let mut answer = String::new();
+    soon("an answer", half.read_to_string(&mut answer)).await.expect("text");
+    assert!(answer.starts_with("error "), "{answer}");
+}
+
+/// Callers that say nothing whole hold their connection; more of them than the agent keeps must not keep one
+/// out that has something to say, and their descriptors are not the application's.
+#[tokio::test]
+async fn slow_callers_delay_nobody() {
+    let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let directory = Directory::start(Mood::Mute).await;
+    let agent = operated(&[host("s", backend.address, "up")], &directory).await;
+    let mut slow: Vec<TcpStream> = Vec::new();
+    for _ in 0..100 {
+        let mut stream = agent.operator().await;
+        stream.write_all(b"coun").await.expect("sent");
+        slow.push(stream);
+    }
+    let asked = Instant::now();
+    assert_eq!(agent.call("health").await, "done\n");
+    assert_eq!(agent.counters().await["current"], 0);
+    assert!(asked.elapsed() < Duration::from_secs(4), "waited for the slow ones: {:?}", asked.elapsed());
+    assert_eq!(agent.get("/read").await.status(), 200);
+    let held = || {
+        let open = |s: &&TcpStream| matches!(s.try_read(&mut [0]), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock);
+        slow.iter().filter(open).count()
+    };
+    soon("the oldest to be closed", async {
+        while held() > 32 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    })
+    .await;
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -464,6 +464,15 @@
     }
 }
 
+/// What a balancer makes of its servers, in figures for people.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Fleet {
+    /// Servers on the list, draining ones too.
+    pub listed: usize,
+    /// Those of them that it avoids now.
+    pub avoided: usize,
+}
+
 /// News of the server list.
 #[derive(Debug, Clone, PartialEq)]
 pub enum ListUpdate {
--- a/src/records.rs
+++ b/src/records.rs
@@ -290,6 +290,14 @@
         live.request.cost_hint.map_or_else(|| self.usual(live.request.class.0), Span::ms)
     }
 
+    /// How many servers are listed, and how many of them are sent nothing, or next to nothing, for now: by the
+    /// list's word or by choice.
+    pub fn fleet(&self) -> Fleet {
+        let listed = || self.servers.iter().filter(|s| s.listed.status != Status::Gone);
+        let avoided = |s: &&Server| s.listed.status != Status::Serving || s.suspicion.is_some();
+        Fleet { listed: listed().count(), avoided: listed().filter(avoided).count() }
+    }
+
     /// The state behind the decisions in one line, for a log.
     pub fn summary(&self) -> String {
         let serving = || self.serving.iter().map(|&i| &self.servers[i]);
