Take renderers out and back by cordon and uncordon, as events of the module

Lines: `ready` and the rebuild of `serving` in src/logic.rs knew the list's status alone; `warmth` knew only starts that the list tells; `has_room` gives a balancer with little traffic no room for even one request on a cold server.

--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -204,10 +204,23 @@
 
     /// The figures as the operators read them.
     pub fn figures(&self) -> serde_json::Value {
-        let fleet = self.state.borrow().balancer.fleet();
+        let fleet = self.state.borrow().balancer.fleet(self.clock.now());
         figures::report(&self.figures.now(), &self.names.classes, fleet.listed, fleet.avoided)
     }
 
+    /// Takes a server out of use for the operators, or brings it back; false if nobody has had that name.
+    pub fn cordon(self: &Rc<Self>, name: &str, on: bool) -> bool {
+        {
+            let mut state = self.state.borrow_mut();
+            let Some(&server) = state.servers.get(name) else { return false };
+            let at = self.clock.now();
+            state.queue.push_back(if on { Event::Cordon { server } } else { Event::Uncordon { server, at } });
+            log_line!("operators: {name} is {}", if on { "cordoned" } else { "back" });
+        }
+        self.pump();
+        true
+    }
+
     /// Hands a request to the balancer; its answer comes over the channel.
     pub fn submit(self: &Rc<Self>, arrival: Arrival) -> (RequestId, oneshot::Receiver<Answer>) {
         let (answer, receiver) = oneshot::channel();
--- a/agent/src/operator.rs
+++ b/agent/src/operator.rs
@@ -23,6 +23,7 @@
 const LINE_WAIT: Duration = Duration::from_secs(6);
 /// What a caller gets to read its answer and to close.
 const ANSWER_WAIT: Duration = Duration::from_secs(2);
+const CALLS: &str = "health, counters, cordon ID, uncordon ID";
 /// Pause after a bind or an accept that failed.
 const PAUSE: Duration = Duration::from_millis(100);
 
@@ -103,9 +104,12 @@
         ["health"] if driver.serves() => Ok("done".to_owned()),
         ["health"] => Err("no clients are taken yet".to_owned()),
         ["counters"] => return format!("{}\nend\n", driver.figures()),
+        [call @ ("cordon" | "uncordon"), id] if driver.cordon(id, call == "cordon") => Ok("done".to_owned()),
+        ["cordon" | "uncordon", id] => Err(format!("no renderer {id:.80}")),
+        ["cordon" | "uncordon", ..] => Err("this call takes one renderer's name".to_owned()),
         ["health" | "counters", ..] => Err("this call stands alone".to_owned()),
-        [] => Err("an empty line; calls are health, counters".to_owned()),
-        [other, ..] => Err(format!("no call {other:.40}; calls are health, counters")),
+        [] => Err(format!("an empty line; calls are {CALLS}")),
+        [other, ..] => Err(format!("no call {other:.40}; calls are {CALLS}")),
     };
     match answer {
         Ok(said) => said + "\n",
--- a/agent/tests/operator.rs
+++ b/agent/tests/operator.rs
@@ -107,3 +107,33 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn a_cordoned_renderer_gets_nothing_until_it_is_called_back() {
+    let mut out = Backend::start(|_| Reply::Bytes(ok("out"))).await;
+    let other = Backend::start(|_| Reply::Bytes(ok("other"))).await;
+    let hosts = [host("out", out.address, "up"), host("other", other.address, "up")];
+    let mut directory = Directory::start(Mood::Mute).await;
+    let agent = operated(&hosts, &directory).await;
+    while agent.get("/read").await.body != b"out" {}
+    out.next().await;
+    for call in ["cordon", "cordon out other", "cordon nobody", "uncordon nobody", "uncordon", "cordon OUT"] {
+        let answer = agent.call(call).await;
+        assert!(answer.starts_with("error "), "{call}: {answer}");
+    }
+    assert_eq!(agent.call("cordon out").await, "done\n");
+    assert_eq!(agent.call("cordon out").await, "done\n");
+    assert_eq!(agent.counters().await["cluster_unhealthy"], 1);
+    while out.seen.try_recv().is_ok() {}
+    directory.next_call().await;
+    directory.list(2, &hosts[1..]);
+    directory.next_call().await;
+    directory.list(3, &hosts);
+    directory.next_call().await;
+    for _ in 0..30 {
+        assert_eq!(agent.get("/read").await.body, b"other");
+    }
+    assert!(out.seen.try_recv().is_err(), "sent to a cordoned renderer");
+    assert_eq!(agent.call("uncordon out").await, "done\n");
+    soon("the renderer's return", async { while agent.get("/read").await.body != b"out" {} }).await;
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -595,6 +595,18 @@
     },
     /// News of the server list.
     List(ListUpdate),
+    /// The operators take a server out of use until they bring it back, whatever the list says meanwhile.
+    Cordon {
+        /// The server; it need not be listed.
+        server: ServerId,
+    },
+    /// They bring it back. It has been restarted meanwhile, so it is cold.
+    Uncordon {
+        /// The server.
+        server: ServerId,
+        /// When they did.
+        at: Time,
+    },
     /// Another balancer's message.
     PeerMessage {
         /// Who sent it.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -21,6 +21,10 @@
 const NEAR: f64 = 0.2;
 /// A blind balancer sends a cold server this part of the overload that would push it over.
 const COLD_TRUST: f64 = 0.5;
+/// A server that the operators bring back is tried within this, at a time of each balancer's own: the tries
+/// of all must not meet on a cold server. Of more balancers than this, about as many see to it, by chance.
+const TRY_WITHIN: Span = Span(4_000_000);
+const TRIES_MOST: f64 = 8.0;
 /// Weight of a new answer in a server's pace: about the last eight answers count.
 const PACE_GAIN: f64 = 0.12;
 /// An answer counts as this many aims at most: late is late, and one costly request must not weigh like ten.
@@ -192,6 +196,8 @@
                 self.choose_asked(now, out);
             }
             Event::List(update) => self.list(now, update, out),
+            Event::Cordon { server } => self.cordon(now, server, out),
+            Event::Uncordon { server, at } => self.uncordon(now, server, at, out),
         }
     }
 
@@ -269,11 +275,11 @@
         order[giving..].iter().for_each(|&c| self.spared[c] = true);
     }
 
-    /// Sent now, it would not be answered while that is worth something.
+    /// Sent now, it would not be answered while that is worth something; or there is nowhere to send it.
     fn hopeless(&self, now: Time, live: &Live) -> bool {
         let c = &self.settings.classes[live.request.class.0];
         let soon = c.aim * (0.7 * self.class_pace[live.request.class.0]);
-        now + soon >= if c.late_worth > 0.0 { live.deadline } else { live.wanted_by }
+        self.shut || now + soon >= if c.late_worth > 0.0 { live.deadline } else { live.wanted_by }
     }
 
     /// Keeps a request for later, or ends it if that is hopeless.
@@ -407,7 +413,7 @@
             Reach::Cell(cell) => s.listed.cell == cell,
         };
         lawful
-            && s.listed.status == Status::Serving
+            && self.open(s)
             && self.has_room(now, s, ask.work)
             && (self.blind || s.suspicion.as_ref().is_none_or(|q| due(q, now, ask.safe)))
     }
@@ -425,7 +431,8 @@
         let rested = now.since(s.ended).ms() >= s.took * (1.0 / limit - 1.0).max(0.0) && now >= s.rest_until;
         let warmth = self.warmth(s, now);
         let share = warmth * self.warm_sent.now(now);
-        let cold = warmth < 1.0 && self.warm > 0 && s.cold_sent.now(now) + work > share;
+        let owed = s.try_by.is_some_and(|by| now >= by);
+        let cold = warmth < 1.0 && self.warm > 0 && s.cold_sent.now(now) + work > share && !owed;
         rested && !cold && f64::from(s.in_flight) + 1.0 <= (limit * warmth).max(1.0)
     }
 
@@ -433,6 +440,11 @@
     /// Draws are by rejection, four tries each, so that a pick costs the same in a large fleet; only if all
     /// fail is each server looked at, and those that were tried before come last.
     fn candidates(&mut self, now: Time, ask: &Pick) -> Vec<usize> {
+        let due =
+            |i: &&usize| self.servers[**i].try_by.is_some_and(|by| now >= by) && self.ready(now, **i, ask);
+        if let Some(&untried) = self.untried.iter().find(due) {
+            return vec![untried];
+        }
         let draws = self.compared() - self.remembered();
         let mut found: Vec<usize> = Vec::with_capacity(draws + self.memory.len() + 1);
         for _ in 0..4 * draws {
@@ -572,6 +584,8 @@
         let share = pick.work / self.warm.max(1) as f64;
         let (sent, work) = if cold { (&mut s.cold_sent, pick.work) } else { (&mut self.warm_sent, share) };
         sent.add(now, 0.5 * self.settings.fall_after.ms(), work);
+        s.try_by = None;
+        self.untried.retain(|&i| i != server);
         let trial = s.suspicion.is_some();
         s.suspicion.iter_mut().for_each(|q| q.on_trial = true);
         let again = attempt > 0;
@@ -583,7 +597,7 @@
 
     /// The share of its capacity that a server surely has.
     fn warmth(&self, s: &Server, now: Time) -> f64 {
-        let Some(started) = s.listed.started else { return 1.0 };
+        let Some(started) = s.listed.started.max(s.returned) else { return 1.0 };
         let (age, warm) = (now.since(started).ms(), self.settings.warm_after.ms());
         if age >= warm {
             return 1.0;
@@ -884,9 +898,7 @@
                 Some(&i) => {
                     let s = &mut self.servers[i];
                     if line.started.is_some() && line.started != s.listed.started {
-                        // A new process: what was learned of the old one says nothing, and it is cold.
-                        let (in_flight, last_answer) = (s.in_flight, s.last_answer);
-                        *s = Server { in_flight, last_answer, ..Server::new(line, LIMIT_FIRST, now) };
+                        s.renew(line, LIMIT_FIRST, now);
                     } else {
                         s.listed = line;
                     }
@@ -897,15 +909,51 @@
                 }
             }
         }
-        let servers = &self.servers;
-        self.serving = (0..servers.len()).filter(|&i| servers[i].listed.status == Status::Serving).collect();
-        self.memory.retain(|&m| servers[m].listed.status == Status::Serving);
+        self.reopen(now, out);
+    }
+
+    /// Takes in which servers may be sent anything now.
+    fn reopen(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.serving = (0..self.servers.len()).filter(|&i| self.open(&self.servers[i])).collect();
+        let mut memory = std::mem::take(&mut self.memory);
+        memory.retain(|&m| self.open(&self.servers[m]));
+        self.memory = memory;
+        let listed = self.servers.iter().any(|s| s.listed.status == Status::Serving);
+        self.shut = listed && self.serving.is_empty();
         self.warm = self.serving.iter().filter(|&&i| self.warmth(&self.servers[i], now) >= 1.0).count();
         self.most = self.most.max(self.serving.len());
         self.blind = self.settings.balancers as usize > self.most;
         self.pump(now, out);
     }
 
+    fn cordon(&mut self, now: Time, server: ServerId, out: &mut Vec<Action>) {
+        if self.cordoned.insert(server) {
+            out.push(Action::CloseIdle { server });
+            self.reopen(now, out);
+        }
+    }
+
+    /// A server that is back has been restarted, so what was learned of it says nothing and its connections
+    /// are dead; it is cold from when it came back, or from a later start that the list tells.
+    fn uncordon(&mut self, now: Time, server: ServerId, at: Time, out: &mut Vec<Action>) {
+        if !self.cordoned.remove(&server) {
+            return;
+        }
+        let Some(&i) = self.index.get(&server) else { return };
+        let chance = TRIES_MOST / f64::from(self.settings.balancers.max(1));
+        let by = at + TRY_WITHIN * self.rng.f64();
+        let s = &mut self.servers[i];
+        s.renew(s.listed.clone(), LIMIT_FIRST, now);
+        s.returned = Some(at);
+        if self.rng.f64() < chance {
+            s.try_by = Some(by);
+            self.untried.retain(|&u| u != i);
+            self.untried.push(i);
+        }
+        out.push(Action::CloseIdle { server });
+        self.reopen(now, out);
+    }
+
     fn set_tick(&mut self, now: Time, after: Span, out: &mut Vec<Action>) {
         self.tick_at = now + after;
         out.push(Action::SetTimer { at: self.tick_at, timer: TICK });
--- a/src/records.rs
+++ b/src/records.rs
@@ -1,7 +1,7 @@
 //! What the decisions keep of requests, attempts and servers: records only, nothing is decided here.
 
 use crate::api::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Traffic is counted over about this many milliseconds.
 const COUNT_MS: f64 = 3000.0;
@@ -133,6 +133,9 @@
     pub(crate) suspicion: Option<Suspicion>,
     /// Until then a blind balancer doubts it, by what it saw itself or by hearsay.
     pub(crate) doubted_until: Time,
+    /// When the operators last brought it back, and by when it has to be tried after that.
+    pub(crate) returned: Option<Time>,
+    pub(crate) try_by: Option<Time>,
     /// Work sent to it while it was cold.
     pub(crate) cold_sent: Fading,
     /// Load by the last report, and sends since.
@@ -160,12 +163,20 @@
             took: 0.0,
             suspicion: None,
             doubted_until: now,
+            returned: None,
+            try_by: None,
             cold_sent: Fading::default(),
             reported: 0.0,
             reported_at: None,
             sent_since: 0,
         }
     }
+
+    /// A new process on the same machine: what was learned of the old one says nothing, and it is cold.
+    pub(crate) fn renew(&mut self, listed: Listed, limit: f64, now: Time) {
+        let Server { in_flight, last_answer, returned, try_by, .. } = *self;
+        *self = Server { in_flight, last_answer, returned, try_by, ..Server::new(listed, limit, now) };
+    }
 }
 
 /// The decisions of one client process about where, when and how often its requests are sent.
@@ -188,8 +199,14 @@
     /// With more balancers than servers, most of a server's load is other balancers' and own counts are
     /// nearly all alike. A fleet that shrinks for a while makes no balancer blind.
     pub(crate) blind: bool,
-    /// The servers that the list says are serving.
+    /// The servers that the list says are serving and no cordon holds back.
     pub(crate) serving: Vec<usize>,
+    /// Servers that the operators have taken out of use; beside the list, which must not lift a cordon.
+    pub(crate) cordoned: BTreeSet<ServerId>,
+    /// Cordons leave nothing of the list to send to.
+    pub(crate) shut: bool,
+    /// Servers brought back that are still to be tried.
+    pub(crate) untried: Vec<usize>,
     /// The server that each key was last sent to, where servers do known keys for less.
     pub(crate) warm_keys: BTreeMap<KeyId, usize>,
     /// Answer time of a class as a share of its aim, over all servers, leaning to the quick ones, so that a
@@ -239,6 +256,9 @@
             held: Vec::new(),
             memory: Vec::new(),
             serving: Vec::new(),
+            cordoned: BTreeSet::new(),
+            shut: false,
+            untried: Vec::new(),
             asking: Vec::new(),
             warm: 0,
             warm_sent: Fading::default(),
@@ -290,11 +310,17 @@
         live.request.cost_hint.map_or_else(|| self.usual(live.request.class.0), Span::ms)
     }
 
+    /// Whether the list and the operators let it be sent anything.
+    pub(crate) fn open(&self, s: &Server) -> bool {
+        s.listed.status == Status::Serving && !self.cordoned.contains(&s.listed.server)
+    }
+
     /// How many servers are listed, and how many of them are sent nothing, or next to nothing, for now: by the
-    /// list's word or by choice.
-    pub fn fleet(&self) -> Fleet {
+    /// list's word, by the operators' or by choice.
+    pub fn fleet(&self, now: Time) -> Fleet {
         let listed = || self.servers.iter().filter(|s| s.listed.status != Status::Gone);
-        let avoided = |s: &&Server| s.listed.status != Status::Serving || s.suspicion.is_some();
+        let doubted = |s: &Server| self.blind && s.doubted_until > now;
+        let avoided = |s: &&Server| !self.open(s) || s.suspicion.is_some() || doubted(s);
         Fleet { listed: listed().count(), avoided: listed().filter(avoided).count() }
     }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -32,6 +32,8 @@
     requests: BTreeMap<RequestId, Seen>,
     servers: BTreeMap<ServerId, Listed>,
     leaving: BTreeMap<ServerId, Time>,
+    cordoned: BTreeMap<ServerId, Time>,
+    returned: BTreeMap<ServerId, Time>,
     sends: VecDeque<(Time, ServerId, f64)>,
     warm: BTreeSet<ServerId>,
     warm_since: Time,
@@ -45,6 +47,8 @@
             requests: BTreeMap::new(),
             servers: BTreeMap::new(),
             leaving: BTreeMap::new(),
+            cordoned: BTreeMap::new(),
+            returned: BTreeMap::new(),
             sends: VecDeque::new(),
             warm: BTreeSet::new(),
             warm_since: Time(0),
@@ -114,6 +118,14 @@
                     }
                 }
             }
+            Event::Cordon { server } => {
+                self.cordoned.entry(*server).or_insert(now);
+            }
+            Event::Uncordon { server, at } if self.cordoned.remove(server).is_some() => {
+                // What the process before the call was sent weighs nothing on the one that came back.
+                self.sends.retain(|(_, s, _)| s != server);
+                self.returned.insert(*server, *at);
+            }
             _ => {}
         }
     }
@@ -179,6 +191,9 @@
                 if self.leaving.get(server).is_some_and(|at| now > *at + self.settings.drain_grace) {
                     wrong.push("sent to a draining or gone server");
                 }
+                if self.cordoned.get(server).is_some_and(|at| now > *at) {
+                    wrong.push("sent to a cordoned server");
+                }
                 for text in wrong {
                     self.fault(now, format!("{request:?}: {text}"));
                 }
@@ -194,6 +209,9 @@
                 self.finish(now, *request);
             }
             Action::Fail { request } => self.finish(now, *request),
+            Action::Probe { server } if self.cordoned.get(server).is_some_and(|at| now > *at) => {
+                self.fault(now, format!("probed {server:?}, which is cordoned"));
+            }
             _ => {}
         }
     }
@@ -220,7 +238,7 @@
             self.sends.pop_front();
         }
         let warmth = |line: &Listed| {
-            line.started.map_or(1.0, |s| {
+            line.started.max(self.returned.get(&line.server).copied()).map_or(1.0, |s| {
                 let grown = (now.since(s).ms() / self.settings.warm_after.ms()).min(1.0);
                 self.settings.cold_share + (1.0 - self.settings.cold_share) * grown
             })
