Take over from a running process by the inherited listener, cordons included

Ruled out: the second address, which the first process had not either and which ends no process.

Lines: `TcpListener::bind` in main.rs knew no inherited socket; after SIGTERM `graceful_shutdown` in server.rs closes kept connections at once, and requests on their way to them would be turned back unheard; cordons lived in one process.

--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -6,6 +6,7 @@
 use crate::config::Config;
 use crate::discovery::{Discovery, Health, List};
 use crate::figures::{self, End, Figures, Taken};
+use crate::handover::{Cordons, Word};
 use crate::log::{self, log_line, Log, Tried};
 use crate::upstream::{Ended, Progress, Upstream};
 use bytes::Bytes;
@@ -14,9 +15,10 @@
 use hyper::{Method, Request, StatusCode, Uri};
 use micasail::*;
 use micasail_settings::{fnv1a, Names};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -129,6 +131,9 @@
     pub names: Names,
     /// What each class would do twice, by its number.
     pub effects: Vec<Effect>,
+    /// Clients are being accepted.
+    pub accepts: Cell<bool>,
+    cordons: RefCell<Cordons>,
     figures: Rc<Figures>,
     upstream: Rc<Upstream>,
     state: RefCell<State>,
@@ -137,7 +142,7 @@
 
 impl Driver {
     /// A driver that has the list that the configuration knows.
-    pub fn start(config: Config, connections: usize) -> Result<Rc<Self>, SettingsError> {
+    pub fn start(config: Config, connections: usize, cordons: Cordons) -> Result<Rc<Self>, SettingsError> {
         let clock = Clock::start();
         let effects = config.settings.classes.iter().map(|c| c.effect).collect();
         let figures = Figures::new(config.names.classes.len());
@@ -171,6 +176,8 @@
             clock,
             names: config.names,
             effects,
+            accepts: Cell::new(false),
+            cordons: RefCell::new(cordons),
             figures,
             upstream,
             state: RefCell::new(state),
@@ -189,6 +196,7 @@
             }
         }
         driver.pump();
+        driver.hear_operators();
         Ok(driver)
     }
 
@@ -199,7 +207,7 @@
 
     /// Whether this process takes clients.
     pub fn serves(&self) -> bool {
-        self.ready()
+        self.accepts.get() && self.ready()
     }
 
     /// The figures as the operators read them.
@@ -208,17 +216,40 @@
         figures::report(&self.figures.now(), &self.names.classes, fleet.listed, fleet.avoided)
     }
 
-    /// Takes a server out of use for the operators, or brings it back; false if nobody has had that name.
-    pub fn cordon(self: &Rc<Self>, name: &str, on: bool) -> bool {
+    /// Takes a server out of use for the operators, or brings it back; false if nobody has had that name. An error
+    /// means that this process does so, and that one that takes over will not know.
+    pub fn cordon(self: &Rc<Self>, name: &str, out: bool) -> io::Result<bool> {
+        self.hear_operators();
+        let mut cordons = self.cordons.borrow_mut();
+        if !cordons.knows(name) && !self.state.borrow().servers.contains_key(name) {
+            return Ok(false);
+        }
+        if cordons.out(name) != out {
+            self.pass_on(name, Word { out, at: self.clock.now().0 });
+            cordons.say(name, out)?;
+        }
+        Ok(true)
+    }
+
+    /// Takes in what the operators have said to another process of this agent.
+    pub fn hear_operators(self: &Rc<Self>) {
+        for (name, word) in self.cordons.borrow_mut().look() {
+            self.pass_on(&name, word);
+        }
+    }
+
+    fn pass_on(self: &Rc<Self>, name: &str, word: Word) {
+        log_line!("operators: {name:.80} is {}", if word.out { "cordoned" } else { "back" });
         {
             let mut state = self.state.borrow_mut();
-            let Some(&server) = state.servers.get(name) else { return false };
-            let at = self.clock.now();
-            state.queue.push_back(if on { Event::Cordon { server } } else { Event::Uncordon { server, at } });
-            log_line!("operators: {name} is {}", if on { "cordoned" } else { "back" });
+            let server = state.intern(name);
+            // One that another process has seen go and come back is as cold here.
+            state.queue.push_back(Event::Cordon { server });
+            if !word.out {
+                state.queue.push_back(Event::Uncordon { server, at: Time(word.at) });
+            }
         }
         self.pump();
-        true
     }
 
     /// Hands a request to the balancer; its answer comes over the channel.
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -5,6 +5,7 @@
 mod discovery;
 mod driver;
 mod figures;
+mod handover;
 mod log;
 mod operator;
 mod server;
@@ -12,19 +13,23 @@
 
 use config::Config;
 use driver::Driver;
+use handover::Cordons;
 use log::log_line;
 use server::Server;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, timeout, Instant};
 
 /// Descriptors that are neither the application's nor the backends': files, discovery, the runtime's own.
 const SPARE_SOCKETS: usize = 24;
 /// The part of the others that is the backends'. The application uses a third for its requests and no more
 /// attempts are out than that; what mute peers hold until they are let go comes on top of the application's.
 const BACKENDS_SHARE: usize = 3;
+/// A process that inherits its listener leaves it alone until it has a list, but no longer than this.
+const LIST_WAIT: Duration = Duration::from_secs(4);
 /// Answers that are decided are written within this.
 const FLUSH: Duration = Duration::from_millis(30);
 
@@ -39,20 +44,27 @@
 }
 
 fn start() -> Result<(), String> {
+    // Before anything is opened that could take the descriptor's number.
+    let held = handover::listener(|name| std::env::var(name).ok())?;
     let config = Config::load(|name| std::env::var(name).ok())?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|e| format!("cannot start the runtime: {e}"))?;
-    tokio::task::LocalSet::new().block_on(&runtime, serve(config))
+    tokio::task::LocalSet::new().block_on(&runtime, serve(config, held))
 }
 
 /// Serves until SIGTERM, and then until all that came is answered.
-async fn serve(config: Config) -> Result<(), String> {
+async fn serve(config: Config, held: Option<std::net::TcpListener>) -> Result<(), String> {
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("cannot await SIGTERM: {e}"))?;
     let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("cannot await SIGHUP: {e}"))?;
     let listen = config.listen;
-    let listener = TcpListener::bind(listen).await.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
+    let handed_on = held.is_some();
+    let listener = match held {
+        Some(held) => TcpListener::from_std(held),
+        None => TcpListener::bind(listen).await,
+    };
+    let listener = listener.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
     let address = listener.local_addr().map_err(|e| format!("cannot listen on {listen}: {e}"))?;
     let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
     let name = config.name.clone();
@@ -60,12 +72,30 @@
     let apart = SPARE_SOCKETS + operator.map_or(0, |_| operator::SOCKETS);
     let sockets = config.sockets.saturating_sub(apart);
     let backends = sockets / BACKENDS_SHARE;
-    let driver = Driver::start(config, backends).map_err(|e| e.to_string())?;
+    let folder = std::env::var_os("TMPDIR").filter(|_| operator.is_some()).map(PathBuf::from);
+    let driver = Driver::start(config, backends, Cordons::new(folder)).map_err(|e| e.to_string())?;
     let mut driven = tokio::task::spawn_local(driver.clone().run());
     let server = Server::new(driver.clone(), sockets - backends);
-    let accepting = tokio::task::spawn_local(server.clone().accept(listener));
+    let (accepted, ready) = (server.clone(), driver.clone());
+    let accepting = tokio::task::spawn_local(async move {
+        // Meanwhile the process beside takes what comes, or it waits in the queue that the platform holds.
+        let usable = async {
+            while handed_on && !ready.ready() {
+                sleep(FLUSH).await;
+            }
+        };
+        let _ = timeout(LIST_WAIT, usable).await;
+        accepted.accept(listener).await;
+    });
     if let Some(operator) = operator {
         tokio::task::spawn_local(operator::listen(driver.clone(), operator));
+        let driver = driver.clone();
+        tokio::task::spawn_local(async move {
+            loop {
+                sleep(handover::LOOK).await;
+                driver.hear_operators();
+            }
+        });
     }
     log_line!("{name}: listening on {address}");
 
@@ -86,14 +116,21 @@
         }
     }
     let told = Instant::now();
-    server.drain();
-    sleep(server::ACCEPT_ON).await;
-    accepting.abort();
+    if handed_on {
+        // The queue is the new process's, or the next one's: the platform holds the socket.
+        accepting.abort();
+        server.hand_over();
+    } else {
+        server.drain();
+        sleep(server::ACCEPT_ON).await;
+        accepting.abort();
+    }
     // What is in flight has its deadline; past the longest one nothing is owed any more.
     let last = told + server::ACCEPT_ON + Duration::from_micros(longest.0);
     loop {
         sleep(FLUSH).await;
-        if !server.busy() || Instant::now() >= last {
+        let left = if handed_on { server.open() } else { server.busy() };
+        if !left || Instant::now() >= last {
             break;
         }
     }
--- a/agent/src/operator.rs
+++ b/agent/src/operator.rs
@@ -104,8 +104,11 @@
         ["health"] if driver.serves() => Ok("done".to_owned()),
         ["health"] => Err("no clients are taken yet".to_owned()),
         ["counters"] => return format!("{}\nend\n", driver.figures()),
-        [call @ ("cordon" | "uncordon"), id] if driver.cordon(id, call == "cordon") => Ok("done".to_owned()),
-        ["cordon" | "uncordon", id] => Err(format!("no renderer {id:.80}")),
+        [call @ ("cordon" | "uncordon"), id] => match driver.cordon(id, call == "cordon") {
+            Ok(true) => Ok("done".to_owned()),
+            Ok(false) => Err(format!("no renderer {id:.80}")),
+            Err(why) => Err(format!("it holds in this process alone, an upgrade would forget it: {why}")),
+        },
         ["cordon" | "uncordon", ..] => Err("this call takes one renderer's name".to_owned()),
         ["health" | "counters", ..] => Err("this call stands alone".to_owned()),
         [] => Err(format!("an empty line; calls are {CALLS}")),
--- a/agent/src/server.rs
+++ b/agent/src/server.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderMap, HeaderName, HeaderValue, ALLOW, CONTENT_TYPE, RETRY_AFTER};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, ALLOW, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
@@ -38,11 +38,24 @@
 /// After SIGTERM new connections go on coming for a while; each is still taken.
 pub const ACCEPT_ON: Duration = Duration::from_millis(650);
 
+/// Whether the process goes on serving its connections.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Stay {
+    /// It does.
+    On,
+    /// It ends, and closes what is idle.
+    Ends,
+    /// Another process has taken over. What is idle here may have a request on its way, which would be turned back
+    /// unheard: each connection's next one is answered, and only then the connection is closed.
+    HandedOver,
+}
+
 /// The listening side and the connections it has taken.
 pub struct Server {
     driver: Rc<Driver>,
-    draining: watch::Sender<bool>,
+    stay: watch::Sender<Stay>,
     busy: Cell<usize>,
+    open: Cell<usize>,
     places: std::sync::Arc<Semaphore>,
 }
 
@@ -51,14 +64,16 @@
     pub fn new(driver: Rc<Driver>, connections: usize) -> Rc<Self> {
         Rc::new(Server {
             driver,
-            draining: watch::Sender::new(false),
+            stay: watch::Sender::new(Stay::On),
             busy: Cell::new(0),
+            open: Cell::new(0),
             places: std::sync::Arc::new(Semaphore::new(connections)),
         })
     }
 
     /// Takes connections until it is dropped.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+        self.driver.accepts.set(true);
         loop {
             let Ok(place) = self.places.clone().acquire_owned().await else { return };
             match listener.accept().await {
@@ -72,7 +87,22 @@
 
     /// Says `Connection: close` from now on and closes what is idle.
     pub fn drain(&self) {
-        self.draining.send_replace(true);
+        self.leave(Stay::Ends);
+    }
+
+    /// Answers what is open and the next request of each connection, as another process takes the new ones.
+    pub fn hand_over(&self) {
+        self.leave(Stay::HandedOver);
+    }
+
+    fn leave(&self, how: Stay) {
+        self.driver.accepts.set(false);
+        self.stay.send_replace(how);
+    }
+
+    /// Whether any connection is open.
+    pub fn open(&self) -> bool {
+        self.open.get() > 0
     }
 
     /// Whether any request is being read or answered.
@@ -84,8 +114,9 @@
         // Without it answers of one connection would wait for each other's acknowledgement. That is no reason
         // to drop a connection that is good otherwise; one that is not shows when it is read.
         let _ = stream.set_nodelay(true);
-        let mut draining = self.draining.subscribe();
-        let late = *draining.borrow();
+        let _open = Counted::one(&self.open);
+        let mut stay = self.stay.subscribe();
+        let late = *stay.borrow() == Stay::Ends;
         let server = self.clone();
         let opened = Cell::new(Some(Instant::now()));
         let service = service_fn(move |request| {
@@ -98,7 +129,7 @@
         // An error here is the client's leaving or its bad bytes; both concern this connection alone.
         tokio::select! {
             _ = connection.as_mut() => return,
-            _ = draining.wait_for(|on| *on), if !late => connection.as_mut().graceful_shutdown(),
+            _ = stay.wait_for(|stay| *stay == Stay::Ends), if !late => connection.as_mut().graceful_shutdown(),
         }
         let _ = connection.await;
     }
@@ -108,11 +139,12 @@
         request: Request<Incoming>,
         whole_by: Instant,
     ) -> Result<Response<Full<Bytes>>, Infallible> {
-        self.busy.set(self.busy.get() + 1);
-        let _busy = Busy(&self.busy);
-        Ok(match self.take(request, whole_by).await {
-            Ok(answer) | Err(answer) => answer,
-        })
+        let _busy = Counted::one(&self.busy);
+        let (Ok(mut answer) | Err(mut answer)) = self.take(request, whole_by).await;
+        if *self.stay.borrow() != Stay::On {
+            answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        Ok(answer)
     }
 
     async fn take(
@@ -121,7 +153,7 @@
         whole_by: Instant,
     ) -> Result<Response<Full<Bytes>>, Response<Full<Bytes>>> {
         if request.uri().path() == "/ready" {
-            let ready = self.driver.ready() && !*self.draining.borrow();
+            let ready = self.driver.ready() && *self.stay.borrow() == Stay::On;
             return Ok(if ready {
                 plain(StatusCode::OK, "ready")
             } else {
@@ -212,10 +244,17 @@
     }
 }
 
-/// Counts a request in work.
-struct Busy<'a>(&'a Cell<usize>);
+/// Counts something for as long as it lasts.
+struct Counted<'a>(&'a Cell<usize>);
+
+impl<'a> Counted<'a> {
+    fn one(count: &'a Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        Counted(count)
+    }
+}
 
-impl Drop for Busy<'_> {
+impl Drop for Counted<'_> {
     fn drop(&mut self) {
         self.0.set(self.0.get() - 1);
     }
@@ -279,6 +318,7 @@
 mod tests {
     use super::*;
     use crate::config::Config;
+    use crate::handover::Cordons;
     use std::io::Write as _;
     use std::os::fd::OwnedFd;
     use std::os::unix::net::UnixStream;
@@ -314,7 +354,7 @@
         let local = tokio::task::LocalSet::new();
         local
             .run_until(async {
-                let driver = Driver::start(config, 8).expect("a driver");
+                let driver = Driver::start(config, 8, Cordons::new(None)).expect("a driver");
                 let server = Server::new(driver, 8);
                 let (ours, mut theirs) = without_options().expect("a pair");
                 assert!(ours.set_nodelay(true).is_err(), "the option can be set here");
@@ -352,7 +392,7 @@
         let local = tokio::task::LocalSet::new();
         local
             .run_until(async {
-                let driver = Driver::start(config, 8).expect("a driver");
+                let driver = Driver::start(config, 8, Cordons::new(None)).expect("a driver");
                 tokio::task::spawn_local(driver.clone().run());
                 let server = Server::new(driver, 8);
                 let (ours, mut theirs) = without_options().expect("a pair");
--- /dev/null
+++ b/agent/tests/upgrade.rs
@@ -0,0 +1,128 @@
+//! One process takes over from another: the same listening socket, the same word of the operators.
+
+mod common;
+use common::*;
+use serde_json::{json, Value};
+use std::net::TcpListener;
+use std::os::fd::OwnedFd;
+use std::path::PathBuf;
+use std::process::Stdio;
+use tokio::process::Command;
+
+/// What a platform holds for an agent: its socket, and a folder that all its processes see.
+struct Platform {
+    socket: TcpListener,
+    folder: PathBuf,
+}
+
+impl Platform {
+    fn new(name: &str) -> Self {
+        let socket = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let folder = std::env::temp_dir().join(format!("bellcroft-upgrade-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        Platform { socket, folder }
+    }
+
+    /// One more process, with a second address of its own and the socket as descriptor 7.
+    async fn process(&self, directory: &Directory, hosts: &[Value]) -> Agent {
+        let mut config = config(directory.address, hosts);
+        config["operator"] = nobody().await.to_string().into();
+        let socket = OwnedFd::from(self.socket.try_clone().expect("a copy"));
+        Agent::with(config, |command| {
+            // A shell moves it where it is told to be.
+            let program = command.as_std().get_program().to_owned();
+            let file = command.as_std().get_envs().find(|(name, _)| *name == "PROXY_CONFIG");
+            let file = file.and_then(|(_, file)| file).expect("a file").to_owned();
+            *command = Command::new("/bin/sh");
+            command.args(["-c", "exec 7<&0 </dev/null; exec \"$0\""]).arg(program).env_clear();
+            command.env("PROXY_CONFIG", file).env("TMPDIR", &self.folder).env("PROXY_LISTEN_FD", "7");
+            command.stdin(Stdio::from(socket)).stderr(Stdio::piped()).kill_on_drop(true);
+        })
+        .await
+    }
+}
+
+impl Drop for Platform {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+async fn healthy(agent: &Agent) {
+    soon("a yes", async { while agent.call("health").await != "done\n" {} }).await;
+}
+
+#[tokio::test]
+async fn a_new_process_takes_over_and_no_request_is_turned_back() {
+    let mut backend = Backend::start(|m| match m.first_line().contains("slow") {
+        true => Reply::Mute,
+        false => Reply::Bytes(ok("x")),
+    })
+    .await;
+    let directory = Directory::start(Mood::Mute).await;
+    let hosts = [host("s", backend.address, "up")];
+    let platform = Platform::new("over");
+    let mut old = platform.process(&directory, &hosts).await;
+    healthy(&old).await;
+    let mut kept = old.client().await;
+    assert_eq!(kept.ask(&request("GET", "/read", "2000m", "")).await.status(), 200);
+    let mut waits = old.client().await;
+    waits.send(&request("POST", "/pay/slow", "1500m", "")).await;
+    while !backend.next().await.head.contains("slow") {}
+    let new = platform.process(&directory, &hosts).await;
+    healthy(&new).await;
+    old.term().await;
+    soon("the old process's no", async { while old.call("health").await == "done\n" {} }).await;
+    // It leaves alone what comes from here on ...
+    let mut next = old.client().await;
+    assert_eq!(next.ask(&request("GET", "/read", "2000m", "")).await.status(), 200);
+    assert_eq!(new.counters().await["answered"]["read"], 1);
+    // ... and answers what it has: the request under way, and one more on a kept connection.
+    let last = kept.ask(&request("GET", "/read", "2000m", "")).await;
+    assert_eq!((last.status(), last.header("connection")), (200, Some("close")));
+    kept.closed().await;
+    assert_eq!(waits.answer().await.status(), 504);
+    assert!(old.end().await.success());
+    assert_eq!(next.ask(&request("GET", "/read", "2000m", "")).await.header("connection"), None);
+}
+
+#[tokio::test]
+async fn the_operators_word_at_either_process_holds_in_both() {
+    let mut out = Backend::start(|_| Reply::Bytes(ok("out"))).await;
+    let other = Backend::start(|_| Reply::Bytes(ok("other"))).await;
+    let directory = Directory::start(Mood::Mute).await;
+    let hosts = [host("out", out.address, "up"), host("other", other.address, "up")];
+    let platform = Platform::new("word");
+    let old = platform.process(&directory, &hosts).await;
+    healthy(&old).await;
+    assert_eq!(old.call("cordon out").await, "done\n");
+    let new = platform.process(&directory, &hosts).await;
+    healthy(&new).await;
+    assert_eq!(new.counters().await["cluster_unhealthy"], 1);
+    drop(old);
+    for _ in 0..30 {
+        assert_eq!(new.get("/read").await.body, b"other");
+    }
+    assert!(out.seen.try_recv().is_err(), "sent to a cordoned renderer");
+    let third = platform.process(&directory, &hosts).await;
+    assert_eq!(new.call("uncordon out").await, "done\n");
+    soon("the word's way", async { while third.counters().await["cluster_unhealthy"] != json!(0) {} }).await;
+    soon("the renderer's return", async { while new.get("/read").await.body != b"out" {} }).await;
+}
+
+#[tokio::test]
+async fn a_process_without_a_list_says_no_and_leaves_clients_to_the_other() {
+    let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let directory = Directory::start(Mood::Mute).await;
+    let platform = Platform::new("list");
+    let old = platform.process(&directory, &[host("s", backend.address, "up")]).await;
+    healthy(&old).await;
+    let new = platform.process(&directory, &[]).await;
+    for _ in 0..10 {
+        assert!(new.call("health").await.starts_with("error "));
+        assert_eq!(old.get("/read").await.status(), 200);
+    }
+    assert_eq!(old.counters().await["answered"]["read"], 10);
+    directory.list(2, &[host("s", backend.address, "up")]);
+    healthy(&new).await;
+}
