Pass long answers on as they come, under one byte budget with back-pressure

Ruled out: the renderers, whose answers were sound by their heads, and memory (8 of 48 MB).

Lines: `Limited::new(response.into_body(), BODY_MOST)` in Upstream::exchange.

A server whose every answer breaks off after a good beginning was still sent 39 of 200 requests when each success ended the row of failures, so breaks are counted apart and fade (test in tests/suspects.rs, seen to fail).

--- a/agent/src/config.rs
+++ b/agent/src/config.rs
@@ -9,6 +9,7 @@
 
 /// Descriptors and memory are for small machines; a configuration that is silent about them means these.
 const SOCKETS: usize = 1024;
+const MEMORY_MB: f64 = 192.0;
 /// Fewer leave no room to serve; more than this no process may hold.
 const SOCKETS_LEAST: usize = 80;
 const SOCKETS_MOST: usize = 1 << 20;
@@ -28,6 +29,10 @@
     pub seed: u64,
     /// Descriptors that the process may hold.
     pub sockets: usize,
+    /// Memory that the process may use, in MB, together with another one if it may run beside one.
+    pub memory_mb: u64,
+    /// Whether it may.
+    pub shared: bool,
     /// What the decisions go by.
     pub settings: Settings,
     /// The names in the settings and the limits of sockets.
@@ -59,6 +64,7 @@
 #[serde(default)]
 struct Limits {
     sockets: Option<usize>,
+    memory_mb: Option<f64>,
 }
 
 impl File {
@@ -115,6 +121,8 @@
             // Any text makes a seed; only the form of the deployment's own is read as a number.
             seed: u64::from_str_radix(&seed, 16).unwrap_or_else(|_| micasail_settings::fnv1a(&seed)),
             sockets: file.limits.sockets.unwrap_or(SOCKETS).min(SOCKETS_MOST),
+            memory_mb: file.limits.memory_mb.unwrap_or(MEMORY_MB) as u64,
+            shared: var("PROXY_LISTEN_FD").is_some_and(|fd| !fd.is_empty()),
             settings,
             names,
             known,
--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -3,12 +3,13 @@
 //! Nothing is decided here. Everything runs on one thread, so an event is handled, and its actions are carried
 //! out, before anything else happens; an action never calls back into the balancer, it queues an event.
 
+use crate::body::{Budget, Hold};
 use crate::config::Config;
 use crate::discovery::{Discovery, Health, List};
 use crate::figures::{self, End, Figures, Taken};
 use crate::handover::{Cordons, Word};
 use crate::log::{self, log_line, Log, Tried};
-use crate::upstream::{Ended, Progress, Upstream};
+use crate::upstream::{Ended, Progress, Served, Upstream};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH};
@@ -72,6 +73,8 @@
     pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
+    /// For as long as the request is kept.
+    pub _hold: Hold,
     /// Its class.
     pub class: ClassId,
     /// Its tenant.
@@ -88,8 +91,8 @@
 
 /// The one final answer to a request.
 pub enum Answer {
-    /// A backend's answer, whole: its content type and its body.
-    Served(Option<HeaderValue>, Bytes),
+    /// A backend's answer, whole or begun.
+    Served(Box<Served>),
     /// Refused by the balancer; trying again is harmless, and makes sense after this long.
     Refused(Option<Span>),
     /// Failed, with no promise.
@@ -135,6 +138,8 @@
     pub accepts: Cell<bool>,
     cordons: RefCell<Cordons>,
     figures: Rc<Figures>,
+    /// What may be held of bodies.
+    pub budget: Rc<Budget>,
     upstream: Rc<Upstream>,
     state: RefCell<State>,
     wake: Notify,
@@ -146,9 +151,11 @@
         let clock = Clock::start();
         let effects = config.settings.classes.iter().map(|c| c.effect).collect();
         let figures = Figures::new(config.names.classes.len());
+        let budget = Rc::new(Budget::of(config.memory_mb, config.shared));
         let upstream = Rc::new(Upstream::new(
             connections,
             figures.clone(),
+            budget.clone(),
             Duration::from_micros(config.names.connect_timeout.0),
             Duration::from_micros(config.names.keepalive.0),
             config.names.report_fields.clone(),
@@ -179,6 +186,7 @@
             accepts: Cell::new(false),
             cordons: RefCell::new(cordons),
             figures,
+            budget,
             upstream,
             state: RefCell::new(state),
             wake: Notify::new(),
@@ -285,7 +293,7 @@
             let mut state = self.state.borrow_mut();
             let Some(open) = state.open.remove(&id) else { return };
             state.stop_unwritten(id, open.taken.sends);
-            state.note(open, End::Gone, &self.names);
+            state.note(&open, End::Gone, &self.names);
             state.queue.push_back(Event::ClientGone { request: id });
         }
         self.pump();
@@ -420,8 +428,10 @@
             let mut state = self.state.borrow_mut();
             state.attempts.remove(&key);
             self.figures.attempt(ended.outcome);
-            if let Some((kind, body)) = ended.answer {
-                state.answer(key.0, Answer::Served(kind, body), &self.names);
+            if let Some(served) = ended.answer {
+                let driver = self.clone();
+                let broke = move || driver.broke(server);
+                state.serve(key.0, served, broke, &self.names);
             }
             let state = &mut *state;
             if let Some(open) = state.open.get_mut(&key.0) {
@@ -449,6 +459,19 @@
         self.pump();
     }
 
+    /// An answer that was being passed on has broken off.
+    fn broke(self: &Rc<Self>, server: ServerId) {
+        {
+            let mut state = self.state.borrow_mut();
+            if state.log.room(Instant::now()) {
+                let name = state.names.get(&server).map_or("", String::as_str);
+                log_line!("an answer of {name} broke off on its way to the client");
+            }
+            state.queue.push_back(Event::Broke { server });
+        }
+        self.pump();
+    }
+
     fn probe(self: &Rc<Self>, server: ServerId) {
         let driver = self.clone();
         tokio::task::spawn_local(async move {
@@ -499,29 +522,34 @@
 }
 
 impl State {
-    /// Gives a request its final answer. What of it has not been written to a backend stays unwritten.
+    /// Gives a request its final answer that is not a backend's. What of it has not been written to a backend stays
+    /// unwritten.
     fn answer(&mut self, id: RequestId, answer: Answer, names: &Names) {
         let Some(open) = self.open.remove(&id) else { return };
         self.stop_unwritten(id, open.taken.sends);
-        let end = match &answer {
-            Answer::Served(..) => End::Served,
-            Answer::Refused(_) => End::Refused,
-            Answer::Failed(_) => End::Failed,
-        };
-        let tell = self.note(open, end, names);
+        let end = if matches!(answer, Answer::Refused(_)) { End::Refused } else { End::Failed };
+        self.note(&open, end, names);
+        open.taken.end(end);
         // A client that left at this very moment hears nothing.
-        let _ = tell.send(answer);
+        let _ = open.answer.send(answer);
+    }
+
+    /// Gives a request its final answer by a backend, with which it ends.
+    fn serve(&mut self, id: RequestId, mut served: Served, broke: impl FnOnce() + 'static, names: &Names) {
+        let Some(open) = self.open.remove(&id) else { return };
+        self.stop_unwritten(id, open.taken.sends);
+        self.note(&open, End::Served, names);
+        served.body.ends(open.taken, broke);
+        let _ = open.answer.send(Answer::Served(Box::new(served)));
     }
 
-    /// Counts the end of a request, and logs one that did not go well under the application's name for it.
-    fn note(&mut self, open: Open, end: End, names: &Names) -> oneshot::Sender<Answer> {
+    /// Logs a request that did not go well under the application's name for it.
+    fn note(&mut self, open: &Open, end: End, names: &Names) {
         let now = Instant::now();
-        let Open { answer, parts, taken, tried, .. } = open;
-        let sends = taken.sends;
-        taken.end(end);
+        let Open { parts, taken, tried, .. } = open;
         // Served at last is worth a line too, if only after an attempt that was lost.
         if (matches!(end, End::Served) && tried.is_empty()) || !self.log.room(now) {
-            return answer;
+            return;
         }
         let how = match end {
             End::Served => "served",
@@ -536,10 +564,9 @@
             names.classes.get(parts.class.0).map_or("", String::as_str),
             ms(now.saturating_duration_since(parts.came)),
             ms(parts.deadline.saturating_duration_since(parts.came)),
-            sends,
-            log::attempts(&tried),
+            taken.sends,
+            log::attempts(tried),
         );
-        answer
     }
 
     fn stop_unwritten(&self, id: RequestId, sends: u32) {
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -1,6 +1,7 @@
 //! A client-side load-balancing agent: HTTP/1.1 from the application beside it, HTTP/1.1 to the backends, and
 //! the decisions of `micasail` in between.
 
+mod body;
 mod config;
 mod discovery;
 mod driver;
--- a/agent/src/server.rs
+++ b/agent/src/server.rs
@@ -1,11 +1,13 @@
 //! The application's side: takes requests in, checks them, and writes the one answer of each.
 
+use crate::body::{Reply, BUFFER, KEPT_MOST};
 use crate::driver::{Answer, Arrival, Driver};
-use crate::upstream::{forwarded, BODY_MOST};
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use crate::upstream::{forwarded, Served};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderMap, HeaderName, HeaderValue, ALLOW, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
+use hyper::header::{
+    HeaderMap, HeaderName, HeaderValue, ALLOW, CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER,
+};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
@@ -14,6 +16,7 @@
 use micasail_settings::fnv1a;
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::error::Error;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -124,7 +127,11 @@
             server.clone().answer(request, since + READ_MOST)
         });
         let mut builder = http1::Builder::new();
-        builder.timer(TokioTimer::new()).header_read_timeout(HEAD_MOST).keep_alive(!late);
+        builder
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEAD_MOST)
+            .keep_alive(!late)
+            .max_buf_size(BUFFER);
         let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
         // An error here is the client's leaving or its bad bytes; both concern this connection alone.
         tokio::select! {
@@ -138,7 +145,7 @@
         self: Rc<Self>,
         request: Request<Incoming>,
         whole_by: Instant,
-    ) -> Result<Response<Full<Bytes>>, Infallible> {
+    ) -> Result<Response<Reply>, Infallible> {
         let _busy = Counted::one(&self.busy);
         let (Ok(mut answer) | Err(mut answer)) = self.take(request, whole_by).await;
         if *self.stay.borrow() != Stay::On {
@@ -151,7 +158,7 @@
         &self,
         request: Request<Incoming>,
         whole_by: Instant,
-    ) -> Result<Response<Full<Bytes>>, Response<Full<Bytes>>> {
+    ) -> Result<Response<Reply>, Response<Reply>> {
         if request.uri().path() == "/ready" {
             let ready = self.driver.ready() && *self.stay.borrow() == Stay::On;
             return Ok(if ready {
@@ -173,11 +180,7 @@
     }
 
     /// Reads a request whole; the error is the answer to a bad one.
-    async fn read(
-        &self,
-        request: Request<Incoming>,
-        whole_by: Instant,
-    ) -> Result<Arrival, Response<Full<Bytes>>> {
+    async fn read(&self, request: Request<Incoming>, whole_by: Instant) -> Result<Arrival, Response<Reply>> {
         let bad = |why: &str| plain(StatusCode::BAD_REQUEST, why);
         let (head, body) = request.into_parts();
         let names = &self.driver.names;
@@ -201,10 +204,11 @@
         let wait = text(&head.headers, "x-timeout").and_then(wait_of);
         let wait = wait.ok_or_else(|| bad("X-Timeout must be a time such as 480m or 900u"))?;
         let effect = self.driver.effects[class];
-        let method = if effect == Effect::Idempotent { Method::GET } else { Method::POST };
-        if head.method != method {
+        let safe = effect == Effect::Idempotent;
+        let methods: &[Method] = if safe { &[Method::GET, Method::HEAD] } else { &[Method::POST] };
+        if !methods.contains(&head.method) {
             let mut answer = plain(StatusCode::METHOD_NOT_ALLOWED, "this class has another method");
-            let allow = if method == Method::GET { "GET" } else { "POST" };
+            let allow = if safe { "GET, HEAD" } else { "POST" };
             answer.headers_mut().insert(ALLOW, HeaderValue::from_static(allow));
             return Err(answer);
         }
@@ -213,11 +217,19 @@
             return Err(bad("this class needs an Idempotency-Key"));
         }
         let large = || plain(StatusCode::PAYLOAD_TOO_LARGE, "a body holds at most 64 KiB");
-        if body.size_hint().lower() > BODY_MOST as u64 {
+        if body.size_hint().lower() > KEPT_MOST as u64 {
             return Err(large());
         }
-        let body = match timeout_at(whole_by, Limited::new(body, BODY_MOST).collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
+        let most = body.size_hint().exact().map_or(KEPT_MOST, |length| length as usize);
+        let collected = async {
+            let hold = self.driver.budget.request(most).await?;
+            Ok::<_, Box<dyn Error + Send + Sync>>((
+                Limited::new(body, KEPT_MOST).collect().await?.to_bytes(),
+                hold,
+            ))
+        };
+        let (body, hold) = match timeout_at(whole_by, collected).await {
+            Ok(Ok(kept)) => kept,
             Ok(Err(e)) if e.is::<LengthLimitError>() => return Err(large()),
             Ok(Err(_)) => return Err(bad("the body did not come whole")),
             Err(_) => return Err(plain(StatusCode::REQUEST_TIMEOUT, "the body did not come in time")),
@@ -240,6 +252,7 @@
             method: head.method,
             uri: head.uri,
             body,
+            _hold: hold,
         })
     }
 }
@@ -288,11 +301,13 @@
     (!wait.is_zero() && wait <= WAIT_MOST).then_some(wait)
 }
 
-fn word(answer: Answer) -> Response<Full<Bytes>> {
+fn word(answer: Answer) -> Response<Reply> {
     match answer {
-        Answer::Served(kind, body) => {
-            let mut response = Response::new(Full::new(body));
+        Answer::Served(served) => {
+            let Served { kind, length, body } = *served;
+            let mut response = Response::new(body);
             response.headers_mut().extend(kind.map(|kind| (CONTENT_TYPE, kind)));
+            response.headers_mut().extend(length.map(|length| (CONTENT_LENGTH, length)));
             response
         }
         Answer::Refused(after) => {
@@ -306,8 +321,8 @@
     }
 }
 
-fn plain(status: StatusCode, why: &str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from(format!("{why}\n"))));
+fn plain(status: StatusCode, why: &str) -> Response<Reply> {
+    let mut response = Response::new(Reply::whole(format!("{why}\n").into(), None));
     *response.status_mut() = status;
     let kind: (HeaderName, HeaderValue) = (CONTENT_TYPE, HeaderValue::from_static("text/plain"));
     response.headers_mut().extend([kind]);
--- a/agent/src/upstream.rs
+++ b/agent/src/upstream.rs
@@ -3,18 +3,20 @@
 //! A connection carries one exchange at a time and is used again only after a whole answer. Whatever else ends
 //! an exchange (a time-out, a cancel, an error) ends its connection with it.
 
+use crate::body::{Budget, Reply, BUFFER, KEPT_MOST};
 use crate::discovery::{Health, Host};
 use crate::figures::Figures;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http1::{handshake, SendRequest};
-use hyper::header::{HeaderMap, HeaderValue, CONTENT_TYPE};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE};
 use hyper::rt::{Read, ReadBufCursor, Write};
-use hyper::{Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use micasail::{Outcome, ServerId};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -26,8 +28,9 @@
 use tokio::task::JoinHandle;
 use tokio::time::{timeout, timeout_at, Instant};
 
-/// The longest body of either direction.
-pub const BODY_MOST: usize = 64 << 10;
+/// An answer of unknown length is held back for this long after its head: one that breaks off by then is tried
+/// elsewhere, and one that goes on is passed on as it comes.
+const HOLD_BACK: Duration = Duration::from_millis(50);
 /// An idle connection is given up after this share of the time in the settings: one that the backend closes
 /// while a request is on its way to it costs that request a reset of which nobody knows whether it ran.
 const IDLE_SHARE: f64 = 0.7;
@@ -152,8 +155,18 @@
     pub why: Option<String>,
     /// The load report that came along.
     pub report: Option<Vec<f64>>,
-    /// The whole answer of a served request: its content type and its body.
-    pub answer: Option<(Option<HeaderValue>, Bytes)>,
+    /// The answer of a served request.
+    pub answer: Option<Served>,
+}
+
+/// What a backend has answered to a request that it served.
+pub struct Served {
+    /// Its content type.
+    pub kind: Option<HeaderValue>,
+    /// The length of the body that it would have, if only its head was asked for.
+    pub length: Option<HeaderValue>,
+    /// The body, as far as it has come.
+    pub body: Reply,
 }
 
 impl Ended {
@@ -179,6 +192,19 @@
     }
 }
 
+/// A connection whose answer is being passed on.
+pub struct Lease {
+    connection: Connection,
+    upstream: Rc<Upstream>,
+}
+
+impl Lease {
+    /// The answer was whole: the connection may serve another request.
+    pub fn give_back(self) {
+        tokio::task::spawn_local(self.upstream.clone().settle(self.connection));
+    }
+}
+
 /// A counted place among the connections that the process may hold.
 struct Place(Rc<Cell<usize>>);
 
@@ -204,6 +230,7 @@
     held: Rc<Cell<usize>>,
     most: usize,
     figures: Rc<Figures>,
+    budget: Rc<Budget>,
     connect_timeout: Duration,
     idle_most: Duration,
     fields: Vec<String>,
@@ -214,6 +241,7 @@
     pub fn new(
         most: usize,
         figures: Rc<Figures>,
+        budget: Rc<Budget>,
         connect_timeout: Duration,
         keepalive: Duration,
         fields: Vec<String>,
@@ -223,6 +251,7 @@
             held: Rc::default(),
             most,
             figures,
+            budget,
             connect_timeout,
             idle_most: keepalive.mul_f64(IDLE_SHARE),
             fields,
@@ -389,7 +418,8 @@
             };
             let ended = self.exchange(connection, request).await;
             let mut ended = ended.unwrap_or_else(|_| Ended::without_answer(Outcome::ConnectionReset));
-            if let (None, Some((_, body))) = (&ended.report, &ended.answer) {
+            let body = ended.answer.as_ref().and_then(|answer| answer.body.as_whole());
+            if let (None, Some(body)) = (&ended.report, body) {
                 ended.report =
                     std::str::from_utf8(body).ok().and_then(|text| parse_report(text, &self.fields));
             }
@@ -398,23 +428,57 @@
         timeout(PROBE_WAIT, exchange).await.unwrap_or(Ended::without_answer(Outcome::TimedOut))
     }
 
-    /// One request and its whole answer over a connection; what went wrong if that broke on the way.
+    /// One request and its answer over a connection, whole or so much of it that the rest can be passed on; what
+    /// went wrong if that broke on the way.
     async fn exchange(
-        &self,
+        self: &Rc<Self>,
         mut connection: Connection,
         request: Request<Full<Bytes>>,
     ) -> Result<Ended, String> {
+        let head_only = request.method() == Method::HEAD;
         let response = connection.sender.send_request(request).await.map_err(|e| reason(&e))?;
         let (outcome, report) = self.judge(&response);
-        let status = Some(response.status());
-        let kind = response.headers().get(CONTENT_TYPE).cloned();
-        let body = Limited::new(response.into_body(), BODY_MOST).collect().await;
-        let body = body.map_err(|e| reason(&*e))?.to_bytes();
+        let (head, mut body) = response.into_parts();
+        let ended =
+            Ended { outcome, status: Some(head.status), idled: None, why: None, report, answer: None };
+        if outcome != Outcome::Success {
+            // Its status says it all. What comes with it is not passed on; if that is long, it is not read either.
+            let rest = Limited::new(body, KEPT_MOST).collect().await;
+            match rest {
+                Ok(_) => self.clone().settle(connection).await,
+                Err(why) if why.is::<LengthLimitError>() => {}
+                Err(why) => return Err(reason(&*why)),
+            }
+            return Ok(ended);
+        }
+        let kind = head.headers.get(CONTENT_TYPE).cloned();
+        let length = head.headers.get(CONTENT_LENGTH).filter(|_| head_only).cloned();
+        let known = body.size_hint().exact();
+        let mut first = VecDeque::new();
+        let mut whole = false;
+        let mut hold = None;
+        if known.is_none_or(|length| length <= KEPT_MOST as u64) {
+            let most = known.map_or(KEPT_MOST, |length| length as usize);
+            hold = Some(self.budget.answer(most).await.map_err(|e| reason(&e))?);
+            let begin = known.is_none().then(|| Instant::now() + HOLD_BACK);
+            whole = gather(&mut body, &mut first, begin).await.map_err(|e| reason(&e))?;
+        }
+        let body = if whole {
+            self.clone().settle(connection).await;
+            Reply::whole(joined(first), hold)
+        } else {
+            drop(hold);
+            let hold = self.budget.passing().await.map_err(|e| reason(&e))?;
+            Reply::begun(first, body, Lease { connection, upstream: self.clone() }, hold)
+        };
+        Ok(Ended { answer: Some(Served { kind, length, body }), ..ended })
+    }
+
+    /// Keeps a connection after a whole answer, if it is ready for another request.
+    async fn settle(self: Rc<Self>, mut connection: Connection) {
         if let Ok(Ok(())) = timeout(SETTLE, connection.sender.ready()).await {
             self.park(connection);
         }
-        let answer = (outcome == Outcome::Success).then_some((kind, body));
-        Ok(Ended { outcome, status, idled: None, why: None, report, answer })
     }
 
     /// What an answer means. Only a rejection that says so proves that the request has not run: a bare 503
@@ -431,13 +495,45 @@
     }
 }
 
+/// Reads an answer until it has ended, is too long to be kept, or `begin` has come; whether it has ended.
+async fn gather(
+    body: &mut Incoming,
+    first: &mut VecDeque<Bytes>,
+    begin: Option<Instant>,
+) -> Result<bool, hyper::Error> {
+    let mut size = 0;
+    while size <= KEPT_MOST {
+        let frame = match begin {
+            None => body.frame().await,
+            Some(begin) => match timeout_at(begin, body.frame()).await {
+                Ok(frame) => frame,
+                Err(_) => return Ok(false),
+            },
+        };
+        let Some(frame) = frame.transpose()? else { return Ok(true) };
+        if let Ok(bytes) = frame.into_data() {
+            size += bytes.len();
+            first.push_back(bytes);
+        }
+    }
+    Ok(false)
+}
+
+fn joined(mut parts: VecDeque<Bytes>) -> Bytes {
+    match parts.len() {
+        0 | 1 => parts.pop_front().unwrap_or_default(),
+        _ => parts.iter().flat_map(|part| part.iter().copied()).collect::<Vec<u8>>().into(),
+    }
+}
+
 async fn open(dial: SocketAddr) -> io::Result<(SendRequest<Full<Bytes>>, JoinHandle<()>, Rc<Wire>)> {
     let stream = TcpStream::connect(dial).await?;
     // It spares waits; a connection without it is good all the same.
     let _ = stream.set_nodelay(true);
     let wire = Rc::<Wire>::default();
     let io = Counted { io: TokioIo::new(stream), wire: wire.clone() };
-    let (sender, driven) = handshake(io).await.map_err(io::Error::other)?;
+    let (sender, driven) =
+        Builder::new().max_buf_size(BUFFER).handshake(io).await.map_err(io::Error::other)?;
     let task = tokio::task::spawn_local(async move {
         // How it ended shows at the sender and in the bytes written.
         let _ = driven.await;
@@ -458,7 +554,7 @@
     let headers: usize =
         request.headers().iter().map(|(n, v)| n.as_str().len() + v.len() + ": \r\n".len()).sum();
     let query = request.uri().query().map_or(0, |q| q.len() + "?".len());
-    let body = hyper::body::Body::size_hint(request.body()).exact().unwrap_or(0);
+    let body = request.body().size_hint().exact().unwrap_or(0);
     (line + query + headers + "\r\n".len()) as u64 + body
 }
 
@@ -529,7 +625,8 @@
         let list = crate::discovery::parse_list(&list).expect("a list");
         let wait = Duration::from_secs(10);
         for (places, outcome) in [(0, Outcome::NotSent), (1, Outcome::ConnectFailed)] {
-            let upstream = Rc::new(Upstream::new(places, Figures::new(1), wait, wait, Vec::new()));
+            let budget = Rc::new(Budget::of(32, false));
+            let upstream = Rc::new(Upstream::new(places, Figures::new(1), budget, wait, wait, Vec::new()));
             upstream.describe(ServerId(1), &list.hosts[0]);
             let request = Request::get("/a").header("host", "s").body(Full::default()).expect("a request");
             let until = Instant::now() + wait;
--- a/src/api.rs
+++ b/src/api.rs
@@ -575,6 +575,11 @@
         /// The request has its final answer; without this one is still owed.
         closed: bool,
     },
+    /// An answer that had begun well, and was told as a success, has broken off.
+    Broke {
+        /// The server that gave it.
+        server: ServerId,
+    },
     /// The client has gone; nothing is owed any more.
     ClientGone {
         /// The request.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -39,6 +39,9 @@
 /// often than this at the rate of the whole fleet, and no fewer than these.
 const BY_CHANCE: f64 = 0.002;
 const FAILURES: f64 = 2.0;
+/// What a good beginning leaves of the answers that broke off after theirs: it ends a row of failures, but a
+/// server whose every answer breaks off begins each of them well.
+const BROKEN_KEEP: f64 = 0.75;
 /// Weight of a new answer in the fleet's rate of failures.
 const ILL_GAIN: f64 = 0.02;
 /// Failed connects to a zone in a row, to any of its servers, that tell of a cut link and not of a dead
@@ -179,6 +182,13 @@
             Event::Outcome { request, attempt, outcome, elapsed, report, closed } => {
                 self.outcome(now, (request, attempt.0), (outcome, elapsed, report), closed, out);
             }
+            Event::Broke { server } => {
+                let Some(&s) = self.index.get(&server) else { return };
+                self.servers[s].broken += 1.0;
+                if self.fails(s, Some(true)) {
+                    self.suspect(now, s, "failing", out);
+                }
+            }
             Event::ClientGone { request } => {
                 self.live.remove(&request);
             }
@@ -727,6 +737,7 @@
             Outcome::NotSent | Outcome::Cancelled | Outcome::TimedOut => {}
             Outcome::Success => {
                 s.failures = 0;
+                s.broken *= BROKEN_KEEP;
                 s.last_answer = now;
                 self.zones.remove(&s.listed.zone);
                 if used < 1.0 {
@@ -799,15 +810,23 @@
         }
         let slow = s.samples >= SLOW_SAMPLES && s.pace > SLOW * median && s.pace > TARGET;
         let late = self.blind && used >= 1.0 && outcome != Outcome::Rejected;
-        // The fleet's rate is of before this answer, or the first few failures would hide themselves.
-        let row = (BY_CHANCE.ln() / self.ill.clamp(1e-6, 0.6).ln()).ceil().max(FAILURES);
         let failed = outcome.failure();
-        self.ill += if failed || used > 0.0 { ILL_GAIN * (f64::from(failed) - self.ill) } else { 0.0 };
-        if f64::from(s.failures) >= row || slow || late || (self.blind && s.failures > 0) {
+        let fails = self.fails(flight.server, (failed || used > 0.0).then_some(failed));
+        if fails || slow || late {
             self.suspect(now, flight.server, if slow { "slow" } else { "failing" }, out);
         }
     }
 
+    /// Whether a server has failed more often than the fleet does; counts this answer in the fleet's rate.
+    fn fails(&mut self, server: usize, failed: Option<bool>) -> bool {
+        // The rate is of before this answer, or the first few failures would hide themselves.
+        let row = (BY_CHANCE.ln() / self.ill.clamp(1e-6, 0.6).ln()).ceil().max(FAILURES);
+        self.ill += failed.map_or(0.0, |failed| ILL_GAIN * (f64::from(failed) - self.ill));
+        let s = &self.servers[server];
+        let failures = f64::from(s.failures) + s.broken;
+        failures >= row || (self.blind && failures >= 1.0)
+    }
+
     /// Moves the common level by one answer.
     fn set_level(&mut self, used: f64) {
         let least = if self.blind { LEVEL_LEAST } else { 1.0 / f64::from(self.settings.balancers.max(1)) };
--- a/src/records.rs
+++ b/src/records.rs
@@ -118,6 +118,8 @@
     pub(crate) pace: f64,
     pub(crate) samples: u32,
     pub(crate) failures: u32,
+    /// Answers that broke off of late.
+    pub(crate) broken: f64,
     pub(crate) last_answer: Time,
     /// Connections that its whole answers left idle and no request has taken since, and when the last did.
     pub(crate) idle: u32,
@@ -153,6 +155,7 @@
             pace: 0.0,
             samples: 0,
             failures: 0,
+            broken: 0.0,
             last_answer: now,
             idle: 0,
             idle_at: now,
--- a/tests/suspects.rs
+++ b/tests/suspects.rs
@@ -163,3 +163,21 @@
     assert!(suspects[0] > 0, "the ill one: {suspects:?}");
     assert!(suspects[1..].iter().sum::<u32>() < 10, "the others: {suspects:?}");
 }
+
+/// An answer that has begun is told as a success; one that breaks off later must count against its server.
+#[test]
+fn a_server_whose_answers_break_off_is_left() {
+    let mut rig = Rig::new(settings(Effect::Idempotent), 11);
+    rig.list(fleet(5, 1, 1));
+    let sick = ServerId(2);
+    let mut sent = 0;
+    for _ in 0..200 {
+        if rig.ask_and_answer(10.0) == Some(sick) {
+            sent += 1;
+            rig.tell(Event::Broke { server: sick });
+        }
+    }
+    assert!((1..=12).contains(&sent), "{sent} of 200, of them trials only");
+    rig.tell(Event::Broke { server: ServerId(99) });
+    rig.assert_rules();
+}
