Time clients by a head's first byte and a body's least rate, not by totals

Lines: header_read_timeout(HEAD_MOST) and READ_MOST in server.rs. pace.rs notes the first byte of a head and what is stuck in writing; hyper's timer is off, as it starts when the answer before is out. What must be gone within 3 s of its connect still is, whatever it sent before it stopped. The tests of pace.rs hold both ends.

--- a/agent/src/body.rs
+++ b/agent/src/body.rs
@@ -2,6 +2,7 @@
 //! next when the last has been taken, and what is held of all of them together stays within one budget.
 
 use crate::figures::{End, Taken};
+use crate::pace::Asked;
 use crate::upstream::Lease;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -79,6 +80,8 @@
     first: VecDeque<Bytes>,
     flow: Option<Flow>,
     _hold: Option<Hold>,
+    /// The client waits for it until it is dropped.
+    asked: Option<Asked>,
 }
 
 /// The part of an answer that its backend has still to send.
@@ -97,14 +100,14 @@
     /// An answer that is there whole.
     pub fn whole(body: Bytes, hold: Option<Hold>) -> Self {
         let first = if body.is_empty() { VecDeque::new() } else { VecDeque::from([body]) };
-        Reply { first, flow: None, _hold: hold }
+        Reply { first, flow: None, _hold: hold, asked: None }
     }
 
     /// An answer that has begun.
     pub fn begun(first: VecDeque<Bytes>, body: Incoming, lease: Lease, hold: Hold) -> Self {
         let stall = Box::pin(sleep(STALL));
         let flow = Flow { body, lease, taken: None, broke: None, stall };
-        Reply { first, flow: Some(flow), _hold: Some(hold) }
+        Reply { first, flow: Some(flow), _hold: Some(hold), asked: None }
     }
 
     /// The body, if it is there whole.
@@ -115,6 +118,11 @@
         }
     }
 
+    /// Says whose answer it is.
+    pub fn answers(&mut self, asked: Asked) {
+        self.asked = Some(asked);
+    }
+
     /// Ends the request with the answer; somebody is told if that breaks off.
     pub fn ends(&mut self, taken: Taken, broke: impl FnOnce() + 'static) {
         match &mut self.flow {
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -9,6 +9,7 @@
 mod handover;
 mod log;
 mod operator;
+mod pace;
 mod server;
 mod upstream;
 
--- a/agent/src/server.rs
+++ b/agent/src/server.rs
@@ -1,9 +1,11 @@
 //! The application's side: takes requests in, checks them, and writes the one answer of each.
 
-use crate::body::{Reply, BUFFER, KEPT_MOST};
+use crate::body::{Hold, Reply, BUFFER, KEPT_MOST};
 use crate::driver::{Answer, Arrival, Driver};
+use crate::pace::{Asked, Pace, Patience, Timed};
 use crate::upstream::{forwarded, Served};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{
     HeaderMap, HeaderName, HeaderValue, ALLOW, CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER,
@@ -11,12 +13,10 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use micasail::{ClassId, Effect, KeyId, RequestId, Span, TenantId};
 use micasail_settings::fnv1a;
 use std::cell::Cell;
 use std::convert::Infallible;
-use std::error::Error;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -28,12 +28,6 @@
 const ANSWER_ROOM: Duration = Duration::from_millis(6);
 /// The longest wait that a request may ask for.
 const WAIT_MOST: Duration = Duration::from_secs(600);
-/// A connection over which no whole head has come for this long is closed, whether its peer is silent, slow or
-/// done: the terms allow it from 2 s without a request on, and want a peer that sends none gone within 3 s.
-const HEAD_MOST: Duration = Duration::from_millis(2200);
-/// The first request of a connection that is not whole this long after the connect is given up, and a later one
-/// this long after its head.
-const READ_MOST: Duration = Duration::from_millis(2700);
 /// The balancer ends each request by its deadline; should it not, the agent does, this much later.
 const OVERDUE: Duration = Duration::from_millis(4);
 /// Pause after an accept that failed, or descriptors that have run out would make the loop spin.
@@ -121,33 +115,33 @@
         let mut stay = self.stay.subscribe();
         let late = *stay.borrow() == Stay::Ends;
         let server = self.clone();
-        let opened = Cell::new(Some(Instant::now()));
-        let service = service_fn(move |request| {
-            let since = opened.take().unwrap_or_else(Instant::now);
-            server.clone().answer(request, since + READ_MOST)
-        });
+        let pace = Pace::new();
+        let client = pace.clone();
+        let service = service_fn(move |request| server.clone().answer(request, client.head()));
         let mut builder = http1::Builder::new();
-        builder
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_MOST)
-            .keep_alive(!late)
-            .max_buf_size(BUFFER);
-        let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+        // Hyper's own time for a head would go by idle time and head together.
+        builder.header_read_timeout(None).keep_alive(!late).max_buf_size(BUFFER);
+        let mut connection = pin!(builder.serve_connection(Timed::new(stream, pace.clone()), service));
         // An error here is the client's leaving or its bad bytes; both concern this connection alone.
         tokio::select! {
             _ = connection.as_mut() => return,
+            () = pace.overdue() => return,
             _ = stay.wait_for(|stay| *stay == Stay::Ends), if !late => connection.as_mut().graceful_shutdown(),
         }
-        let _ = connection.await;
+        tokio::select! {
+            _ = connection => {}
+            () = pace.overdue() => {}
+        }
     }
 
     async fn answer(
         self: Rc<Self>,
         request: Request<Incoming>,
-        whole_by: Instant,
+        (patience, asked): (Patience, Asked),
     ) -> Result<Response<Reply>, Infallible> {
         let _busy = Counted::one(&self.busy);
-        let (Ok(mut answer) | Err(mut answer)) = self.take(request, whole_by).await;
+        let (Ok(mut answer) | Err(mut answer)) = self.take(request, patience).await;
+        answer.body_mut().answers(asked);
         if *self.stay.borrow() != Stay::On {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
@@ -157,7 +151,7 @@
     async fn take(
         &self,
         request: Request<Incoming>,
-        whole_by: Instant,
+        patience: Patience,
     ) -> Result<Response<Reply>, Response<Reply>> {
         if request.uri().path() == "/ready" {
             let ready = self.driver.ready() && *self.stay.borrow() == Stay::On;
@@ -167,7 +161,7 @@
                 plain(StatusCode::SERVICE_UNAVAILABLE, "not ready")
             });
         }
-        let arrival = self.read(request, whole_by).await?;
+        let arrival = self.read(request, patience).await?;
         let deadline = arrival.deadline;
         let (id, answer) = self.driver.submit(arrival);
         // When the client leaves, hyper drops this future, and the guard tells the balancer.
@@ -179,8 +173,26 @@
         })
     }
 
+    /// Reads a small body whole.
+    async fn collect(&self, mut body: Incoming, mut patience: Patience) -> Result<(Bytes, Hold), Unread> {
+        let most = body.size_hint().exact().map_or(KEPT_MOST, |length| length as usize);
+        let hold = timeout_at(patience.due(), self.driver.budget.request(most)).await;
+        let hold = hold.map_err(|_| Unread::Late)?.map_err(|_| Unread::Broken)?;
+        let mut kept = BytesMut::new();
+        loop {
+            let frame = timeout_at(patience.due(), body.frame()).await.map_err(|_| Unread::Late)?;
+            let Some(frame) = frame else { return Ok((kept.freeze(), hold)) };
+            let Ok(bytes) = frame.map_err(|_| Unread::Broken)?.into_data() else { continue };
+            patience.came(bytes.len());
+            if kept.len() + bytes.len() > KEPT_MOST {
+                return Err(Unread::Long);
+            }
+            kept.extend_from_slice(&bytes);
+        }
+    }
+
     /// Reads a request whole; the error is the answer to a bad one.
-    async fn read(&self, request: Request<Incoming>, whole_by: Instant) -> Result<Arrival, Response<Reply>> {
+    async fn read(&self, request: Request<Incoming>, patience: Patience) -> Result<Arrival, Response<Reply>> {
         let bad = |why: &str| plain(StatusCode::BAD_REQUEST, why);
         let (head, body) = request.into_parts();
         let names = &self.driver.names;
@@ -220,19 +232,13 @@
         if body.size_hint().lower() > KEPT_MOST as u64 {
             return Err(large());
         }
-        let most = body.size_hint().exact().map_or(KEPT_MOST, |length| length as usize);
-        let collected = async {
-            let hold = self.driver.budget.request(most).await?;
-            Ok::<_, Box<dyn Error + Send + Sync>>((
-                Limited::new(body, KEPT_MOST).collect().await?.to_bytes(),
-                hold,
-            ))
-        };
-        let (body, hold) = match timeout_at(whole_by, collected).await {
-            Ok(Ok(kept)) => kept,
-            Ok(Err(e)) if e.is::<LengthLimitError>() => return Err(large()),
-            Ok(Err(_)) => return Err(bad("the body did not come whole")),
-            Err(_) => return Err(plain(StatusCode::REQUEST_TIMEOUT, "the body did not come in time")),
+        let (body, hold) = match self.collect(body, patience).await {
+            Ok(kept) => kept,
+            Err(Unread::Long) => return Err(large()),
+            Err(Unread::Late) => {
+                return Err(plain(StatusCode::REQUEST_TIMEOUT, "the body did not come in time"))
+            }
+            Err(Unread::Broken) => return Err(bad("the body did not come whole")),
         };
         let came = Instant::now();
         let room = ANSWER_ROOM.min(wait / 4);
@@ -257,6 +263,13 @@
     }
 }
 
+/// Why a body is not there whole.
+enum Unread {
+    Long,
+    Late,
+    Broken,
+}
+
 /// Counts something for as long as it lasts.
 struct Counted<'a>(&'a Cell<usize>);
 
