--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -194,6 +194,7 @@
                     cost_hint: hint.map(Span::from_ms),
                     repeat: opts & 2 != 0,
                     time_left: Span::from_ms(expires_in_ms),
+                    uploading: false,
                 }))
             }
             Incoming::FirstByte { ticket, attempt } => self
--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -3,7 +3,7 @@
 //! Nothing is decided here. Everything runs on one thread, so an event is handled, and its actions are carried
 //! out, before anything else happens; an action never calls back into the balancer, it queues an event.
 
-use crate::body::{Budget, Hold};
+use crate::body::{Budget, Hold, Intake, Outgoing, Step};
 use crate::config::Config;
 use crate::discovery::{Discovery, Health, List};
 use crate::figures::{self, End, Figures, Taken};
@@ -12,6 +12,7 @@
 use crate::upstream::{Ended, Progress, Served, Upstream};
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::body::Body;
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH};
 use hyper::{Method, Request, StatusCode, Uri};
 use micasail::*;
@@ -24,7 +25,7 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{oneshot, Notify};
-use tokio::time::Instant;
+use tokio::time::{sleep_until, Instant};
 
 /// Idle connections are looked through this often.
 const SWEEP: Duration = Duration::from_millis(500);
@@ -67,14 +68,12 @@
     pub uri: Uri,
     /// The application's name for it.
     pub name: String,
-    /// When it had come whole.
+    /// When it had come whole, or its head if its body is long.
     pub came: Instant,
     /// The headers that go on.
     pub headers: HeaderMap,
     /// Its body.
-    pub body: Bytes,
-    /// For as long as the request is kept.
-    pub _hold: Hold,
+    pub body: Content,
     /// Its class.
     pub class: ClassId,
     /// Its tenant.
@@ -85,10 +84,33 @@
     pub cost_hint: Option<Span>,
     /// The client says that it is a repeat.
     pub repeat: bool,
-    /// When its answer must be on its way.
+    /// When its answer must be on its way; if its body is long, what it has left then counts from its last byte.
     pub deadline: Instant,
 }
 
+/// The body of a request.
+pub enum Content {
+    /// There whole, for as long as the request is.
+    Kept { bytes: Bytes, _hold: Hold },
+    /// Passed on as it comes.
+    Passed(Rc<Intake>),
+}
+
+impl Arrival {
+    /// Its body, if that is passed on as it comes.
+    pub fn intake(&self) -> Option<&Rc<Intake>> {
+        match &self.body {
+            Content::Kept { .. } => None,
+            Content::Passed(intake) => Some(intake),
+        }
+    }
+
+    /// How long its client waits.
+    pub fn wait(&self) -> Duration {
+        self.deadline.saturating_duration_since(self.came)
+    }
+}
+
 /// The one final answer to a request.
 pub enum Answer {
     /// A backend's answer, whole or begun.
@@ -275,8 +297,16 @@
                 cost_hint: arrival.cost_hint,
                 repeat: arrival.repeat,
                 time_left: self.clock.at(arrival.deadline).since(self.clock.now()),
+                uploading: arrival.intake().is_some(),
+            };
+            let taken = match arrival.intake() {
+                None => self.figures.take(arrival.class.0),
+                Some(intake) => {
+                    let driver = self.clone();
+                    intake.tells(move |step| driver.uploads(id, step));
+                    self.figures.upload(arrival.class.0)
+                }
             };
-            let taken = self.figures.take(arrival.class.0);
             let parts = Rc::new(arrival);
             state.open.insert(id, Open { answer, parts, taken, timed_out: false, tried: Vec::new() });
             state.queue.push_back(Event::Request(request));
@@ -286,6 +316,24 @@
         (id, receiver)
     }
 
+    /// A long body has taken a step.
+    fn uploads(self: &Rc<Self>, id: RequestId, step: Step) {
+        {
+            let mut state = self.state.borrow_mut();
+            let Some(open) = state.open.get_mut(&id) else { return };
+            let event = match step {
+                Step::Spent => Event::Spent { request: id },
+                Step::Whole => {
+                    open.taken.whole();
+                    let time_left = Span(open.parts.wait().as_micros() as u64);
+                    Event::Uploaded { request: id, time_left }
+                }
+            };
+            state.queue.push_back(event);
+        }
+        self.pump();
+    }
+
     /// The client no longer waits, or must not wait longer. Attempts that are out whole go on, and their
     /// outcomes still count; what has not been written stays unwritten.
     pub fn gone(self: &Rc<Self>, id: RequestId) {
@@ -411,13 +459,23 @@
         open.taken.sends += 1;
         let sent = Instant::now();
         let until = self.clock.instant(timeout_at);
-        let outgoing = outgoing(&open.parts, until.saturating_duration_since(sent));
+        // A long body is timed from its last byte, by what its client said.
+        let (upload, wait) = (open.parts.intake().cloned(), open.parts.wait());
+        let left = if upload.is_some() { wait } else { until.saturating_duration_since(sent) };
+        let outgoing = outgoing(&open.parts, left);
         let progress = Rc::new(Progress::default());
         state.attempts.insert((request, attempt), progress.clone());
         let driver = self.clone();
         tokio::task::spawn_local(async move {
-            let ended = driver.upstream.attempt(server, outgoing, until, &progress).await;
-            driver.ended((request, attempt), server, ended, sent);
+            let over = async {
+                match &upload {
+                    None => sleep_until(until).await,
+                    Some(upload) => sleep_until(upload.whole().await + wait).await,
+                }
+            };
+            let ended = driver.upstream.attempt(server, outgoing, over, &progress).await;
+            let since = upload.and_then(|upload| upload.whole_at()).map_or(sent, |whole| whole.max(sent));
+            driver.ended((request, attempt), server, ended, since);
         });
     }
 
@@ -602,16 +660,22 @@
 }
 
 /// What goes to a backend: the request unchanged, and how long the agent will wait.
-fn outgoing(parts: &Arrival, wait: Duration) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(parts.body.clone()));
+fn outgoing(parts: &Arrival, wait: Duration) -> Request<Outgoing> {
+    let body = match &parts.body {
+        Content::Kept { bytes, .. } => Outgoing::Kept(Full::new(bytes.clone())),
+        Content::Passed(intake) => Outgoing::of(intake),
+    };
+    let length = body.size_hint().exact();
+    let mut request = Request::new(body);
     *request.method_mut() = parts.method.clone();
     *request.uri_mut() = parts.uri.clone();
     *request.headers_mut() = parts.headers.clone();
     let wait = HeaderValue::from_str(&format!("{}u", wait.as_micros().max(1)));
     let headers = request.headers_mut();
     headers.extend(wait.ok().map(|wait| (hyper::header::HeaderName::from_static("x-timeout"), wait)));
-    if parts.method != Method::GET || !parts.body.is_empty() {
-        headers.insert(CONTENT_LENGTH, HeaderValue::from(parts.body.len()));
+    let bodiless = matches!(parts.method, Method::GET | Method::HEAD);
+    if let Some(length) = length.filter(|length| !bodiless || *length > 0) {
+        headers.insert(CONTENT_LENGTH, HeaderValue::from(length));
     }
     request
 }
--- a/agent/src/figures.rs
+++ b/agent/src/figures.rs
@@ -74,8 +74,14 @@
 
     /// A request of this class is the agent's from here to its end.
     pub fn take(self: &Rc<Self>, class: usize) -> Taken {
-        self.0.borrow_mut().taken += 1;
-        Taken { figures: self.clone(), class, end: End::Gone, sends: 0 }
+        let mut taken = self.upload(class);
+        taken.whole();
+        taken
+    }
+
+    /// A request of this class has begun to come. It is the agent's once it is whole, or has its answer before.
+    pub fn upload(self: &Rc<Self>, class: usize) -> Taken {
+        Taken { figures: self.clone(), class, whole: false, end: End::Gone, sends: 0 }
     }
 
     /// The last byte of an attempt has been written.
@@ -106,12 +112,20 @@
 pub struct Taken {
     figures: Rc<Figures>,
     class: usize,
+    whole: bool,
     end: End,
     /// Attempts so far.
     pub sends: u32,
 }
 
 impl Taken {
+    /// Its last byte has come.
+    pub fn whole(&mut self) {
+        if !std::mem::replace(&mut self.whole, true) {
+            self.figures.0.borrow_mut().taken += 1;
+        }
+    }
+
     /// It has ended.
     pub fn end(mut self, end: End) {
         self.end = end;
@@ -120,6 +134,11 @@
 
 impl Drop for Taken {
     fn drop(&mut self) {
+        // What never came whole and has no answer was no request.
+        if !self.whole && self.end == End::Gone {
+            return;
+        }
+        self.whole();
         self.figures.ended(self.class, self.end, self.sends);
     }
 }
@@ -157,6 +176,8 @@
         taken.pop().expect("one").end(End::Failed);
         assert_eq!(figures.now().current(), 1);
         drop(taken);
+        drop(figures.upload(0));
+        assert_eq!(figures.now().taken, 5, "one that never came whole was none");
         figures.sent();
         let counts = figures.now();
         assert_eq!((counts.current(), counts.refused_unsent, counts.gone), (0, 1, 1));
--- a/agent/src/pace.rs
+++ b/agent/src/pace.rs
@@ -126,6 +126,12 @@
         (self.free + self.earned).min(self.last + GAP_MOST).max(self.free)
     }
 
+    /// Nobody has asked for it for this long.
+    pub fn paused(&mut self, span: Duration) {
+        self.free += span;
+        self.last += span;
+    }
+
     /// Some of it has come.
     pub fn came(&mut self, bytes: usize) {
         self.earned += Duration::from_secs_f64(bytes as f64 / LEAST_RATE);
--- a/agent/src/server.rs
+++ b/agent/src/server.rs
@@ -1,14 +1,14 @@
 //! The application's side: takes requests in, checks them, and writes the one answer of each.
 
-use crate::body::{Hold, Reply, BUFFER, KEPT_MOST};
-use crate::driver::{Answer, Arrival, Driver};
+use crate::body::{Hold, Intake, Reply, Unread, BUFFER, KEPT_MOST, REQUEST_MOST};
+use crate::driver::{Answer, Arrival, Content, Driver};
 use crate::pace::{Asked, Pace, Patience, Timed};
 use crate::upstream::{forwarded, Served};
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{
-    HeaderMap, HeaderName, HeaderValue, ALLOW, CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER,
+    HeaderMap, HeaderName, HeaderValue, ALLOW, CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, EXPECT, RETRY_AFTER,
 };
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -17,12 +17,13 @@
 use micasail_settings::fnv1a;
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::future::Future;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
-use tokio::time::{timeout_at, Instant};
+use tokio::time::{sleep_until, timeout_at, Instant};
 
 /// The part of a client's wait that is kept for writing the answer.
 const ANSWER_ROOM: Duration = Duration::from_millis(6);
@@ -162,33 +163,69 @@
             });
         }
         let arrival = self.read(request, patience).await?;
-        let deadline = arrival.deadline;
+        let (deadline, wait, intake) = (arrival.deadline, arrival.wait(), arrival.intake().cloned());
         let (id, answer) = self.driver.submit(arrival);
         // When the client leaves, hyper drops this future, and the guard tells the balancer.
         let _owed = Owed(&self.driver, id);
-        Ok(match timeout_at(deadline + OVERDUE, answer).await {
-            Ok(Ok(answer)) => word(answer),
-            Ok(Err(_)) => plain(StatusCode::BAD_GATEWAY, "no answer was decided"),
-            Err(_) => plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
-        })
+        let over = async {
+            match &intake {
+                None => sleep_until(deadline + OVERDUE).await,
+                Some(intake) => sleep_until(intake.whole().await + wait + OVERDUE).await,
+            }
+        };
+        let broken = async {
+            match &intake {
+                None => std::future::pending().await,
+                Some(intake) => intake.broken().await,
+            }
+        };
+        let answer = tokio::select! {
+            biased;
+            answer = answer => answer.map_or_else(|_| plain(StatusCode::BAD_GATEWAY, "no answer was decided"), word),
+            why = broken => return Err(unread(why)),
+            () = over => plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
+        };
+        if let Some(intake) = intake.filter(|intake| intake.whole_at().is_none()) {
+            tokio::task::spawn_local(intake.discard());
+        }
+        Ok(answer)
     }
 
-    /// Reads a small body whole.
-    async fn collect(&self, mut body: Incoming, mut patience: Patience) -> Result<(Bytes, Hold), Unread> {
-        let most = body.size_hint().exact().map_or(KEPT_MOST, |length| length as usize);
-        let hold = timeout_at(patience.due(), self.driver.budget.request(most)).await;
-        let hold = hold.map_err(|_| Unread::Late)?.map_err(|_| Unread::Broken)?;
+    /// Reads a small body whole, and so much of another one that it shows.
+    async fn collect(
+        &self,
+        mut body: Incoming,
+        mut patience: Patience,
+        expects: bool,
+    ) -> Result<Content, Unread> {
+        let hint = body.size_hint();
+        if hint.lower() > REQUEST_MOST {
+            return Err(Unread::Long);
+        }
         let mut kept = BytesMut::new();
-        loop {
-            let frame = timeout_at(patience.due(), body.frame()).await.map_err(|_| Unread::Late)?;
-            let Some(frame) = frame else { return Ok((kept.freeze(), hold)) };
-            let Ok(bytes) = frame.map_err(|_| Unread::Broken)?.into_data() else { continue };
-            patience.came(bytes.len());
-            if kept.len() + bytes.len() > KEPT_MOST {
-                return Err(Unread::Long);
+        if hint.lower() <= KEPT_MOST as u64 {
+            let most = hint.exact().map_or(KEPT_MOST, |length| length as usize);
+            let hold = self.room(self.driver.budget.request(most), &patience).await?;
+            while kept.len() <= KEPT_MOST {
+                let frame = timeout_at(patience.due(), body.frame()).await.map_err(|_| Unread::Late)?;
+                let Some(frame) = frame else {
+                    return Ok(Content::Kept { bytes: kept.freeze(), _hold: hold });
+                };
+                let Ok(bytes) = frame.map_err(|_| Unread::Broken)?.into_data() else { continue };
+                patience.came(bytes.len());
+                kept.extend_from_slice(&bytes);
             }
-            kept.extend_from_slice(&bytes);
         }
+        let hold = self.room(self.driver.budget.uploading(), &patience).await?;
+        Ok(Content::Passed(Intake::new(kept.freeze(), body, patience, expects, hold)))
+    }
+
+    async fn room(
+        &self,
+        room: impl Future<Output = std::io::Result<Hold>>,
+        patience: &Patience,
+    ) -> Result<Hold, Unread> {
+        timeout_at(patience.due(), room).await.map_err(|_| Unread::Late)?.map_err(|_| Unread::Broken)
     }
 
     /// Reads a request whole; the error is the answer to a bad one.
@@ -228,18 +265,8 @@
         if matches!(effect, Effect::Deduplicated { .. }) && !keyed {
             return Err(bad("this class needs an Idempotency-Key"));
         }
-        let large = || plain(StatusCode::PAYLOAD_TOO_LARGE, "a body holds at most 64 KiB");
-        if body.size_hint().lower() > KEPT_MOST as u64 {
-            return Err(large());
-        }
-        let (body, hold) = match self.collect(body, patience).await {
-            Ok(kept) => kept,
-            Err(Unread::Long) => return Err(large()),
-            Err(Unread::Late) => {
-                return Err(plain(StatusCode::REQUEST_TIMEOUT, "the body did not come in time"))
-            }
-            Err(Unread::Broken) => return Err(bad("the body did not come whole")),
-        };
+        let expects = head.headers.contains_key(EXPECT);
+        let body = self.collect(body, patience, expects).await.map_err(unread)?;
         let came = Instant::now();
         let room = ANSWER_ROOM.min(wait / 4);
         let query = head.uri.query().unwrap_or_default();
@@ -258,18 +285,10 @@
             method: head.method,
             uri: head.uri,
             body,
-            _hold: hold,
         })
     }
 }
 
-/// Why a body is not there whole.
-enum Unread {
-    Long,
-    Late,
-    Broken,
-}
-
 /// Counts something for as long as it lasts.
 struct Counted<'a>(&'a Cell<usize>);
 
@@ -334,6 +353,14 @@
     }
 }
 
+fn unread(why: Unread) -> Response<Reply> {
+    match why {
+        Unread::Long => plain(StatusCode::PAYLOAD_TOO_LARGE, "a body holds at most 32 MB"),
+        Unread::Late => plain(StatusCode::REQUEST_TIMEOUT, "the body did not come in time"),
+        Unread::Broken => plain(StatusCode::BAD_REQUEST, "the body did not come whole"),
+    }
+}
+
 fn plain(status: StatusCode, why: &str) -> Response<Reply> {
     let mut response = Response::new(Reply::whole(format!("{why}\n").into(), None));
     *response.status_mut() = status;
--- a/src/api.rs
+++ b/src/api.rs
@@ -503,12 +503,24 @@
     pub repeat: bool,
     /// How long the client still waits for this try.
     pub time_left: Span,
+    /// Its body is still coming, and is passed on as it comes: its time counts from [`Event::Uploaded`], and what has
+    /// come before its first attempt is all that has to happen within `time_left`.
+    pub uploading: bool,
 }
 
 impl Request {
     /// A first try without tenant, key or hint.
     pub fn new(id: RequestId, class: ClassId, time_left: Span) -> Self {
-        Request { id, class, tenant: None, key: None, cost_hint: None, repeat: false, time_left }
+        Request {
+            id,
+            class,
+            tenant: None,
+            key: None,
+            cost_hint: None,
+            repeat: false,
+            time_left,
+            uploading: false,
+        }
     }
 }
 
@@ -575,6 +587,18 @@
         /// The request has its final answer; without this one is still owed.
         closed: bool,
     },
+    /// The last byte of a request that was uploading has come.
+    Uploaded {
+        /// The request.
+        request: RequestId,
+        /// How long the client waits from here on.
+        time_left: Span,
+    },
+    /// A part of its body has been passed on and is not kept: it cannot be sent again.
+    Spent {
+        /// The request.
+        request: RequestId,
+    },
     /// An answer that had begun well, and was told as a success, has broken off.
     Broke {
         /// The server that gave it.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -139,6 +139,9 @@
 /// How an attempt ended, after how long, and the report that came with it.
 type Ended = (Outcome, Span, Option<Vec<f64>>);
 
+/// No time that a clock shows.
+const NEVER: Time = Time(u64::MAX / 2);
+
 const TICK: TimerId = TimerId(0);
 const ASKED: TimerId = TimerId(1);
 
@@ -182,6 +185,12 @@
             Event::Outcome { request, attempt, outcome, elapsed, report, closed } => {
                 self.outcome(now, (request, attempt.0), (outcome, elapsed, report), closed, out);
             }
+            Event::Uploaded { request, time_left } => self.uploaded(now, request, time_left),
+            Event::Spent { request } => {
+                if let Some(live) = self.live.get_mut(&request) {
+                    live.spent = true;
+                }
+            }
             Event::Broke { server } => {
                 let Some(&s) = self.index.get(&server) else { return };
                 self.servers[s].broken += 1.0;
@@ -237,7 +246,8 @@
         let wanted_by = (now + class.aim.less(spent)).min(deadline);
         self.count(now, &request);
         let over_share = self.over_share(&request);
-        let live = Live { request, deadline, wanted_by, attempts: Vec::new(), bound: false, over_share };
+        let (attempts, bound, spent) = (Vec::new(), false, false);
+        let live = Live { request, deadline, wanted_by, attempts, bound, spent, over_share };
         let hopeless = self.hopeless(now, &live);
         self.live.insert(id, live);
         // Many balancers that each save up a burst would all spend it in the same jam.
@@ -311,7 +321,8 @@
         let out = live.attempts.iter().any(|a| a.fate == Fate::Out);
         let first = live.attempts.iter().find(|a| a.fate != Fate::NeverRan);
         let full = live.attempts.len() >= self.settings.max_attempts as usize;
-        let shut = full || live.bound || now >= live.deadline || (out && !self.settings.second_copies);
+        let shut =
+            full || live.bound || live.spent || now >= live.deadline || (out && !self.settings.second_copies);
         let send = match (first, class.effect) {
             _ if shut => Reach::Nowhere,
             (None, _) | (_, Effect::Idempotent) => Reach::Anywhere,
@@ -331,6 +342,17 @@
         Lawful { send, refuse: refuse && !live.bound }
     }
 
+    /// The last byte of a long body has come: now its time and its server's begin.
+    fn uploaded(&mut self, now: Time, id: RequestId, time_left: Span) {
+        let Some(live) = self.live.get_mut(&id).filter(|live| live.request.uploading) else { return };
+        live.request.uploading = false;
+        live.begin(now, time_left, self.settings.classes[live.request.class.0].aim);
+        for (_, flight) in self.flights.range_mut((id, 0)..=(id, u32::MAX)).filter(|(_, f)| f.uploading) {
+            (flight.uploading, flight.sent) = (false, now);
+            self.servers[flight.server].uploading -= 1;
+        }
+    }
+
     // ---- the pick -----------------------------------------------------------------------------------
 
     /// Sends a request to the lightest candidate, if any server is open to it; false if none is.
@@ -423,7 +445,7 @@
             Reach::Cell(cell) => s.listed.cell == cell,
         };
         lawful
-            && self.open(s)
+            && s.open
             && self.has_room(now, s, ask.work)
             && (self.blind || s.suspicion.as_ref().is_none_or(|q| due(q, now, ask.safe)))
     }
@@ -440,10 +462,10 @@
         let limit = s.limit * self.level;
         let rested = now.since(s.ended).ms() >= s.took * (1.0 / limit - 1.0).max(0.0) && now >= s.rest_until;
         let warmth = self.warmth(s, now);
-        let share = warmth * self.warm_sent.now(now);
-        let owed = s.try_by.is_some_and(|by| now >= by);
-        let cold = warmth < 1.0 && self.warm > 0 && s.cold_sent.now(now) + work > share && !owed;
-        rested && !cold && f64::from(s.in_flight) + 1.0 <= (limit * warmth).max(1.0)
+        let share = || warmth * self.warm_sent.now(now);
+        let owed = || s.try_by.is_some_and(|by| now >= by);
+        let cold = warmth < 1.0 && self.warm > 0 && s.cold_sent.now(now) + work > share() && !owed();
+        rested && !cold && f64::from(s.at_work()) + 1.0 <= (limit * warmth).max(1.0)
     }
 
     /// Fresh uniform draws from the servers that are ready for the request, and the remembered ones that are.
@@ -583,12 +605,18 @@
         let cold = self.warmth(&self.servers[server], now) < 1.0;
         let kept = self.kept(&self.servers[server], now);
         let Some(live) = self.live.get_mut(&id) else { return };
+        let uploading = live.request.uploading;
+        if uploading {
+            // The client is timed by the caller while it sends.
+            (live.deadline, live.wanted_by) = (NEVER, NEVER);
+        }
         let timeout_at = live.deadline;
         let s = &mut self.servers[server];
         let attempt = live.attempts.len() as u32;
         let (zone, cell) = (s.listed.zone, s.listed.cell);
         live.attempts.push(Attempt { server, zone, cell, sent: now, fate: Fate::Out });
         s.in_flight += 1;
+        s.uploading += u32::from(uploading);
         s.sent_since += 1;
         s.idle = if kept { s.idle - 1 } else { 0 };
         let share = pick.work / self.warm.max(1) as f64;
@@ -599,7 +627,8 @@
         let trial = s.suspicion.is_some();
         s.suspicion.iter_mut().for_each(|q| q.on_trial = true);
         let again = attempt > 0;
-        self.flights.insert((id, attempt), Flight { server, class, sent: now, trial, again, counted: false });
+        let flight = Flight { server, class, sent: now, trial, again, uploading, counted: false };
+        self.flights.insert((id, attempt), flight);
         out.push(Action::Send { request: id, server: s.listed.server, timeout_at });
     }
 
@@ -629,6 +658,7 @@
         let Some(flight) = self.flights.remove(&key) else { return };
         let s = &mut self.servers[flight.server];
         s.in_flight -= 1;
+        s.uploading -= u32::from(flight.uploading);
         let (outcome, elapsed, report) = ended;
         if matches!(outcome, Outcome::Success | Outcome::Rejected | Outcome::ServerError) {
             (s.idle, s.idle_at) = (s.idle + 1, now);
@@ -644,6 +674,10 @@
         } else if let Some(live) = self.live.get_mut(&id) {
             let fate = if outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
             live.attempts[key.1 as usize].fate = fate;
+            if live.request.uploading {
+                // Its body waits with the client for the next attempt.
+                live.begin(now, live.request.time_left, self.settings.classes[live.request.class.0].aim);
+            }
             self.follow_up(now, id, outcome, out);
         }
         self.pump(now, out);
@@ -720,7 +754,7 @@
     fn learn(&mut self, now: Time, flight: &Flight, outcome: Outcome, elapsed: Span, out: &mut Vec<Action>) {
         let aim = self.settings.classes[flight.class].aim.ms();
         let least = 1.0 / f64::from(self.settings.balancers.max(1));
-        let (median, own, blind) = (self.median, self.servers[flight.server].in_flight, self.blind);
+        let (median, own, blind) = (self.median, self.servers[flight.server].at_work(), self.blind);
         let used = match outcome {
             Outcome::Success => (elapsed.ms() / aim).min(LATE),
             // Called back is not stopped: the work may still stand in the server's queue.
@@ -931,13 +965,18 @@
         self.reopen(now, out);
     }
 
-    /// Takes in which servers may be sent anything now.
+    /// Takes in which servers the list and the operators let be sent anything; every change of either ends
+    /// here, and the gate asks what is kept with each server.
     fn reopen(&mut self, now: Time, out: &mut Vec<Action>) {
-        self.serving = (0..self.servers.len()).filter(|&i| self.open(&self.servers[i])).collect();
-        let mut memory = std::mem::take(&mut self.memory);
-        memory.retain(|&m| self.open(&self.servers[m]));
-        self.memory = memory;
-        let listed = self.servers.iter().any(|s| s.listed.status == Status::Serving);
+        let mut listed = false;
+        for s in &mut self.servers {
+            let serving = s.listed.status == Status::Serving;
+            s.open = serving && !self.cordoned.contains(&s.listed.server);
+            listed |= serving;
+        }
+        let servers = &self.servers;
+        self.serving = (0..servers.len()).filter(|&i| servers[i].open).collect();
+        self.memory.retain(|&m| servers[m].open);
         self.shut = listed && self.serving.is_empty();
         self.warm = self.serving.iter().filter(|&&i| self.warmth(&self.servers[i], now) >= 1.0).count();
         self.most = self.most.max(self.serving.len());
@@ -1009,12 +1048,14 @@
             let pace = self.class_pace[flight.class].max(self.median).max(work / aim.ms());
             let wait = aim * (OVERDUE * pace).max(least);
             let quiet = server.last_answer < flight.sent;
-            (quiet && now.since(flight.sent) > wait).then_some((key, flight.server))
+            let out = !flight.uploading && now.since(flight.sent) > wait;
+            (quiet && out).then_some((key, flight.server))
         };
         let silent: Vec<_> = self.flights.iter().filter_map(overdue).collect();
         // An answer that is late is known to be late before it comes; waiting for it lets a jam grow.
         let (classes, blind) = (&self.settings.classes, self.blind);
-        let late = |f: &&mut Flight| blind && !f.counted && now.since(f.sent) > classes[f.class].aim;
+        let late =
+            |f: &&mut Flight| blind && !f.counted && !f.uploading && now.since(f.sent) > classes[f.class].aim;
         let late = self.flights.values_mut().filter(late).map(|f| f.counted = true).count();
         (0..late).for_each(|_| self.set_level(LATE));
         for &((id, attempt), server) in &silent {
--- a/src/records.rs
+++ b/src/records.rs
@@ -87,10 +87,20 @@
     pub(crate) wanted_by: Time,
     pub(crate) attempts: Vec<Attempt>,
     pub(crate) bound: bool,
+    /// Its body is not there to be sent again.
+    pub(crate) spent: bool,
     /// Its tenant had its share already; worth little if that is so.
     pub(crate) over_share: bool,
 }
 
+impl Live {
+    /// Its time counts from now.
+    pub(crate) fn begin(&mut self, now: Time, time_left: Span, aim: Span) {
+        self.deadline = now + time_left;
+        self.wanted_by = (now + aim).min(self.deadline);
+    }
+}
+
 /// An attempt that has not ended; it outlives its request if that ends first.
 pub(crate) struct Flight {
     pub(crate) server: usize,
@@ -99,6 +109,8 @@
     pub(crate) trial: bool,
     /// It was not the first attempt of its request.
     pub(crate) again: bool,
+    /// Its request is still coming, so its server has nothing to do for it yet.
+    pub(crate) uploading: bool,
     /// It has already counted as late.
     pub(crate) counted: bool,
 }
@@ -111,7 +123,11 @@
 
 pub(crate) struct Server {
     pub(crate) listed: Listed,
+    /// The list and the operators let it be sent something.
+    pub(crate) open: bool,
     pub(crate) in_flight: u32,
+    /// Those of them whose requests are still coming.
+    pub(crate) uploading: u32,
     /// Answer time over its class's usual, leaning to the quick ones: how slow the machine itself is.
     pub(crate) stretch: f64,
     /// Smoothed answer time as a share of the class's aim.
@@ -150,7 +166,9 @@
     pub(crate) fn new(listed: Listed, limit: f64, now: Time) -> Self {
         Server {
             listed,
+            open: false,
             in_flight: 0,
+            uploading: 0,
             stretch: 1.0,
             pace: 0.0,
             samples: 0,
@@ -177,8 +195,14 @@
 
     /// A new process on the same machine: what was learned of the old one says nothing, and it is cold.
     pub(crate) fn renew(&mut self, listed: Listed, limit: f64, now: Time) {
-        let Server { in_flight, last_answer, returned, try_by, .. } = *self;
-        *self = Server { in_flight, last_answer, returned, try_by, ..Server::new(listed, limit, now) };
+        let Server { in_flight, uploading, last_answer, returned, try_by, .. } = *self;
+        let new = Server::new(listed, limit, now);
+        *self = Server { in_flight, uploading, last_answer, returned, try_by, ..new };
+    }
+
+    /// Own requests that it has to work on.
+    pub(crate) fn at_work(&self) -> u32 {
+        self.in_flight - self.uploading
     }
 }
 
@@ -313,17 +337,12 @@
         live.request.cost_hint.map_or_else(|| self.usual(live.request.class.0), Span::ms)
     }
 
-    /// Whether the list and the operators let it be sent anything.
-    pub(crate) fn open(&self, s: &Server) -> bool {
-        s.listed.status == Status::Serving && !self.cordoned.contains(&s.listed.server)
-    }
-
     /// How many servers are listed, and how many of them are sent nothing, or next to nothing, for now: by the
     /// list's word, by the operators' or by choice.
     pub fn fleet(&self, now: Time) -> Fleet {
         let listed = || self.servers.iter().filter(|s| s.listed.status != Status::Gone);
         let doubted = |s: &Server| self.blind && s.doubted_until > now;
-        let avoided = |s: &&Server| !self.open(s) || s.suspicion.is_some() || doubted(s);
+        let avoided = |s: &&Server| !s.open || s.suspicion.is_some() || doubted(s);
         Fleet { listed: listed().count(), avoided: listed().filter(avoided).count() }
     }
 
