Begin a new process with what the old one has learned of its renderers

Lines: Driver::start gave the balancer nothing but the list. It now hears Event::Learned; take_over in src/logic.rs says what is used.

Tests: tests/takes_over.rs, and the file in handover.rs.

--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -7,7 +7,7 @@
 use crate::config::Config;
 use crate::discovery::{Discovery, Health, List};
 use crate::figures::{self, End, Figures, Taken};
-use crate::handover::{Cordons, Word};
+use crate::handover::{self, Cordons, Word};
 use crate::log::{self, log_line, Log, Tried};
 use crate::upstream::{Ended, Progress, Served, Upstream};
 use bytes::Bytes;
@@ -22,6 +22,7 @@
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::io;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{oneshot, Notify};
@@ -261,6 +262,31 @@
         Ok(true)
     }
 
+    /// Begins with what the process beside this one has learned, if it has left that in the folder.
+    pub fn learn_from(self: &Rc<Self>, folder: &Path) {
+        {
+            let mut state = self.state.borrow_mut();
+            let Some(lessons) = handover::lessons(folder, |name| state.servers.get(name).copied()) else {
+                return;
+            };
+            log_line!("handover: begins with what was learned of {} servers", lessons.servers.len());
+            state.queue.push_back(Event::Learned(lessons));
+        }
+        self.pump();
+    }
+
+    /// Leaves what has been learned there, once there is something.
+    pub fn keep_learned(&self, folder: &Path) {
+        let state = self.state.borrow();
+        let lessons = state.balancer.lessons(self.clock.now());
+        if lessons.servers.iter().all(|lesson| lesson.samples == 0) {
+            return;
+        }
+        if let Err(why) = handover::keep(folder, lessons, |id| state.names.get(&id).cloned()) {
+            log_line!("handover: what was learned is not kept: {why}");
+        }
+    }
+
     /// Takes in what the operators have said to another process of this agent.
     pub fn hear_operators(self: &Rc<Self>) {
         for (name, word) in self.cordons.borrow_mut().look() {
--- a/agent/src/handover.rs
+++ b/agent/src/handover.rs
@@ -5,6 +5,8 @@
 //! file in `$TMPDIR` with the last word on each renderer and its time; the later word wins, whoever wrote it.
 
 use crate::log::log_line;
+use micasail::{Lesson, Lessons, ServerId, Time};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fs::{self, Metadata};
@@ -24,6 +26,10 @@
 /// A renderer that came back so long ago is an ordinary one, and no process runs beside another for nearly as long.
 const FORGET: Duration = Duration::from_secs(600);
 const FILE: &str = "bellcroft-cordons.json";
+const LEARNED: &str = "bellcroft-learned.json";
+/// How often that is written, and how old it may be to be of use.
+pub const LEARN: Duration = Duration::from_secs(1);
+const STALE: Duration = Duration::from_secs(5);
 
 /// The clients' listening socket that the platform holds, if it holds one; the error is for a person.
 pub fn listener(var: impl Fn(&str) -> Option<String>) -> Result<Option<TcpListener>, String> {
@@ -107,9 +113,10 @@
             return Vec::new();
         }
         self.seen = Some(stamp);
-        let theirs = match read(file) {
-            Ok(words) => words,
-            Err(why) => {
+        let theirs = match read::<File>(file) {
+            Ok(File { form: FORM, words }) => words,
+            other => {
+                let why = other.err().unwrap_or_else(|| format!("its form is not {FORM}"));
                 log_line!("handover: {} is not taken: {why}", file.display());
                 return Vec::new();
             }
@@ -131,27 +138,92 @@
         let Some(file) = &self.file else { return Ok(()) };
         let forget = unix_now().saturating_sub(FORGET.as_micros() as u64);
         self.words.retain(|_, word| word.out || word.at > forget);
-        let text = serde_json::to_vec(&File { form: FORM, words: self.words.clone() })?;
-        let new = file.with_extension(format!("{}.new", std::process::id()));
-        fs::write(&new, text)?;
-        fs::rename(&new, file)
+        replace(file, &File { form: FORM, words: self.words.clone() })
     }
 }
 
+/// What the process has learned of its renderers, under their names; a new one begins with it.
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Learned {
+    form: u32,
+    at: u64,
+    level: f64,
+    median: f64,
+    class_pace: Vec<f64>,
+    warm_sent: f64,
+    servers: BTreeMap<String, LearnedServer>,
+}
+
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct LearnedServer {
+    started: Option<u64>,
+    limit: f64,
+    cut: bool,
+    stretch: f64,
+    pace: f64,
+    samples: u32,
+    cold_sent: f64,
+    suspect: bool,
+}
+
+/// Keeps what has been learned for the next process. A failure costs that one a slow start and nothing else.
+pub fn keep(folder: &Path, lessons: Lessons, name: impl Fn(ServerId) -> Option<String>) -> io::Result<()> {
+    let server = |l: Lesson| {
+        let Lesson { server, started, limit, cut, stretch, pace, samples, cold_sent, suspect } = l;
+        let started = started.map(|at| at.0);
+        Some((
+            name(server)?,
+            LearnedServer { started, limit, cut, stretch, pace, samples, cold_sent, suspect },
+        ))
+    };
+    let Lessons { level, median, class_pace, warm_sent, servers } = lessons;
+    let servers = servers.into_iter().filter_map(server).collect();
+    let learned = Learned { form: FORM, at: unix_now(), level, median, class_pace, warm_sent, servers };
+    replace(&folder.join(LEARNED), &learned)
+}
+
+/// What the process beside this one has learned, if that is fresh.
+pub fn lessons(folder: &Path, id: impl Fn(&str) -> Option<ServerId>) -> Option<Lessons> {
+    let file = folder.join(LEARNED);
+    fs::metadata(&file).ok()?;
+    let read = read::<Learned>(&file).and_then(|learned| match learned.form {
+        FORM => Ok(learned),
+        form => Err(format!("its form is {form}, not {FORM}")),
+    });
+    let learned =
+        read.inspect_err(|why| log_line!("handover: {} is not taken: {why}", file.display())).ok()?;
+    if unix_now().saturating_sub(learned.at) > STALE.as_micros() as u64 {
+        return None;
+    }
+    let server = |(name, l): (String, LearnedServer)| {
+        let LearnedServer { started, limit, cut, stretch, pace, samples, cold_sent, suspect } = l;
+        let (server, started) = (id(&name)?, started.map(Time));
+        Some(Lesson { server, started, limit, cut, stretch, pace, samples, cold_sent, suspect })
+    };
+    let Learned { level, median, class_pace, warm_sent, servers, .. } = learned;
+    let servers = servers.into_iter().filter_map(server).collect();
+    Some(Lessons { level, median, class_pace, warm_sent, servers })
+}
+
+/// Replaces a file whole: who reads it finds the old text or the new one.
+fn replace(file: &Path, content: &impl Serialize) -> io::Result<()> {
+    let new = file.with_extension(format!("{}.new", std::process::id()));
+    fs::write(&new, serde_json::to_vec(content)?)?;
+    fs::rename(&new, file)
+}
+
 fn stamp(metadata: &Metadata) -> Stamp {
     (metadata.ino(), metadata.mtime(), metadata.mtime_nsec(), metadata.len())
 }
 
-fn read(file: &Path) -> Result<BTreeMap<String, Word>, String> {
+fn read<T: DeserializeOwned>(file: &Path) -> Result<T, String> {
     if fs::metadata(file).map_err(|e| e.to_string())?.len() > FILE_MOST {
         return Err("it is too long".into());
     }
     let text = fs::read(file).map_err(|e| e.to_string())?;
-    let File { form, words } = serde_json::from_slice(&text).map_err(|e| e.to_string())?;
-    if form != FORM {
-        return Err(format!("its form is {form}, not {FORM}"));
-    }
-    Ok(words)
+    serde_json::from_slice(&text).map_err(|e| e.to_string())
 }
 
 fn unix_now() -> u64 {
@@ -242,6 +314,39 @@
         assert!(Cordons::new(Some(folder.0.join("nowhere"))).say("a", true).is_err());
     }
 
+    #[test]
+    fn what_was_learned_is_read_back_while_it_is_fresh() {
+        let folder = Folder::new("learned");
+        let server = ServerId(7);
+        let (started, samples) = (Some(Time(3)), 9);
+        let lesson = Lesson {
+            server,
+            started,
+            limit: 4.5,
+            cut: true,
+            stretch: 1.5,
+            pace: 0.3,
+            samples,
+            cold_sent: 0.5,
+            suspect: true,
+        };
+        let told =
+            Lessons { level: 0.5, median: 0.2, class_pace: vec![0.1], warm_sent: 2.0, servers: vec![lesson] };
+        keep(&folder.0, told.clone(), |id| (id == server).then(|| "a".to_owned())).expect("written");
+        let id = |name: &str| (name == "a").then_some(server);
+        assert_eq!(lessons(&folder.0, id), Some(told));
+        let file = folder.0.join(LEARNED);
+        let text = fs::read_to_string(&file).expect("text");
+        for odd in [
+            &text[..text.len() / 2],
+            &text.replace("\"form\":1", "\"form\":2"),
+            &text.replace("\"at\":", "\"at\":1,\"was\":"),
+        ] {
+            fs::write(&file, odd).expect("written");
+            assert_eq!(lessons(&folder.0, id), None, "{odd}");
+        }
+    }
+
     #[test]
     fn an_inherited_listener_is_adopted_and_nothing_else_is() {
         let adopted = |text: &str| listener(|name| (name == "PROXY_LISTEN_FD").then(|| text.to_owned()));
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -75,7 +75,7 @@
     let sockets = config.sockets.saturating_sub(apart);
     let backends = sockets / BACKENDS_SHARE;
     let folder = std::env::var_os("TMPDIR").filter(|_| operator.is_some()).map(PathBuf::from);
-    let driver = Driver::start(config, backends, Cordons::new(folder)).map_err(|e| e.to_string())?;
+    let driver = Driver::start(config, backends, Cordons::new(folder.clone())).map_err(|e| e.to_string())?;
     let mut driven = tokio::task::spawn_local(driver.clone().run());
     let server = Server::new(driver.clone(), sockets - backends);
     let (accepted, ready) = (server.clone(), driver.clone());
@@ -91,11 +91,20 @@
     });
     if let Some(operator) = operator {
         tokio::task::spawn_local(operator::listen(driver.clone(), operator));
+        folder.iter().for_each(|folder| driver.learn_from(folder));
         let driver = driver.clone();
         tokio::task::spawn_local(async move {
+            let mut kept = Instant::now();
             loop {
                 sleep(handover::LOOK).await;
                 driver.hear_operators();
+                // A process that has handed over leaves the file to the new one.
+                if let Some(folder) =
+                    folder.as_ref().filter(|_| driver.accepts.get() && kept.elapsed() >= handover::LEARN)
+                {
+                    driver.keep_learned(folder);
+                    kept = Instant::now();
+                }
             }
         });
     }
--- a/src/api.rs
+++ b/src/api.rs
@@ -473,6 +473,44 @@
     pub avoided: usize,
 }
 
+/// What a balancer has learned, for one that takes over from it.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Lessons {
+    /// The part of all limits that is in force.
+    pub level: f64,
+    /// The usual answer time of the fleet and of each class, as a share of the aim.
+    pub median: f64,
+    /// See `median`.
+    pub class_pace: Vec<f64>,
+    /// The work that a warm server was sent of late.
+    pub warm_sent: f64,
+    /// What is known of single servers.
+    pub servers: Vec<Lesson>,
+}
+
+/// What a balancer has learned of one server.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Lesson {
+    /// The server.
+    pub server: ServerId,
+    /// The process that this was learned of: when it started, by the list.
+    pub started: Option<Time>,
+    /// Requests that it may hold, and whether answers have ever cut that.
+    pub limit: f64,
+    /// See `limit`.
+    pub cut: bool,
+    /// Its answer times: over its class's usual, and as a share of the aim.
+    pub stretch: f64,
+    /// See `stretch`.
+    pub pace: f64,
+    /// The answers that this rests on.
+    pub samples: u32,
+    /// The work that it was sent of late while it was cold.
+    pub cold_sent: f64,
+    /// It is out of the draw for its answers.
+    pub suspect: bool,
+}
+
 /// News of the server list.
 #[derive(Debug, Clone, PartialEq)]
 pub enum ListUpdate {
@@ -624,6 +662,8 @@
     },
     /// News of the server list.
     List(ListUpdate),
+    /// What the balancer before this one had learned; it is used where nothing is known yet.
+    Learned(Lessons),
     /// The operators take a server out of use until they bring it back, whatever the list says meanwhile.
     Cordon {
         /// The server; it need not be listed.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -215,6 +215,7 @@
                 self.choose_asked(now, out);
             }
             Event::List(update) => self.list(now, update, out),
+            Event::Learned(lessons) => self.take_over(now, lessons),
             Event::Cordon { server } => self.cordon(now, server, out),
             Event::Uncordon { server, at } => self.uncordon(now, server, at, out),
         }
@@ -984,6 +985,44 @@
         self.pump(now, out);
     }
 
+    /// Goes on from what another balancer knew, server by server while the process is the same; what makes no
+    /// sense is left out.
+    fn take_over(&mut self, now: Time, lessons: Lessons) {
+        let least = 1.0 / f64::from(self.settings.balancers.max(1));
+        let sane = |x: f64| x.is_finite() && x > 0.0;
+        let over = 0.5 * self.settings.fall_after.ms();
+        if sane(lessons.level) {
+            self.level = lessons.level.clamp(if self.blind { LEVEL_LEAST } else { least }, 1.0);
+        }
+        self.median = if sane(lessons.median) { lessons.median.clamp(0.01, LATE) } else { self.median };
+        if lessons.class_pace.len() == self.class_pace.len() && lessons.class_pace.iter().all(|p| sane(*p)) {
+            self.class_pace = lessons.class_pace.iter().map(|pace| pace.min(LATE)).collect();
+            self.class_now = self.class_pace.clone();
+        }
+        if sane(lessons.warm_sent) {
+            self.warm_sent.add(now, over, lessons.warm_sent);
+        }
+        for lesson in lessons.servers {
+            let Some(&i) = self.index.get(&lesson.server) else { continue };
+            let s = &mut self.servers[i];
+            let same = s.samples == 0 && s.listed.started == lesson.started;
+            if !same || ![lesson.limit, lesson.stretch].into_iter().all(sane) || !lesson.pace.is_finite() {
+                continue;
+            }
+            s.limit = lesson.limit.clamp(least, LIMIT_MOST);
+            s.cut_at = if lesson.cut { Time(1) } else { Time(0) };
+            (s.stretch, s.pace) = (lesson.stretch.clamp(0.05, 8.0), lesson.pace.clamp(0.0, LATE));
+            s.samples = lesson.samples;
+            if sane(lesson.cold_sent) {
+                s.cold_sent.add(now, over, lesson.cold_sent);
+            }
+            if lesson.suspect && !self.blind {
+                let pause = TRIAL_FIRST;
+                s.suspicion = Some(Suspicion { next_trial: now + pause, pause, on_trial: false });
+            }
+        }
+    }
+
     fn cordon(&mut self, now: Time, server: ServerId, out: &mut Vec<Action>) {
         if self.cordoned.insert(server) {
             out.push(Action::CloseIdle { server });
--- a/src/records.rs
+++ b/src/records.rs
@@ -337,6 +337,28 @@
         live.request.cost_hint.map_or_else(|| self.usual(live.request.class.0), Span::ms)
     }
 
+    /// What a balancer that takes over from this one should know.
+    pub fn lessons(&self, now: Time) -> Lessons {
+        let lesson = |s: &Server| Lesson {
+            server: s.listed.server,
+            started: s.listed.started,
+            limit: s.limit,
+            cut: s.cut_at > Time(0),
+            stretch: s.stretch,
+            pace: s.pace,
+            samples: s.samples,
+            cold_sent: s.cold_sent.now(now),
+            suspect: s.suspicion.is_some(),
+        };
+        Lessons {
+            level: self.level,
+            median: self.median,
+            class_pace: self.class_pace.clone(),
+            warm_sent: self.warm_sent.now(now),
+            servers: self.servers.iter().filter(|s| s.open).map(lesson).collect(),
+        }
+    }
+
     /// How many servers are listed, and how many of them are sent nothing, or next to nothing, for now: by the
     /// list's word, by the operators' or by choice.
     pub fn fleet(&self, now: Time) -> Fleet {
--- /dev/null
+++ b/tests/takes_over.rs
@@ -0,0 +1,71 @@
+//! Guards what one balancer learns from another: it goes on where that one was, and takes no nonsense.
+mod common;
+use common::*;
+use micasail::*;
+
+fn rig(seed: u64) -> Rig {
+    let settings = Settings { classes: vec![class(Effect::Idempotent)], ..Settings::default() };
+    let mut rig = Rig::new(settings, seed);
+    rig.list(fleet(4, 1, 1));
+    rig
+}
+
+/// Requests that are sent at once and stay out, of a hundred.
+fn burst(rig: &mut Rig) -> usize {
+    (0..100).filter(|_| rig.ask(0).1.is_some()).count()
+}
+
+fn taught() -> Lessons {
+    let mut rig = rig(3);
+    for _ in 0..60 {
+        let ids: Vec<_> =
+            (0..12).filter_map(|_| Some(rig.ask(0)).filter(|(_, sent)| sent.is_some())).collect();
+        rig.wait(Span::from_ms(20.0));
+        for (id, _) in ids {
+            rig.answer(id, 0, Outcome::Success, 20.0);
+        }
+    }
+    rig.balancer.lessons(rig.now)
+}
+
+#[test]
+fn a_balancer_goes_on_from_what_another_has_learned() {
+    let fresh = burst(&mut rig(4));
+    let mut next = rig(4);
+    next.tell(Event::Learned(taught()));
+    let taught = burst(&mut next);
+    assert!(taught > fresh + 4, "{taught} at once, {fresh} without lessons");
+    next.assert_rules();
+}
+
+#[test]
+fn a_new_process_and_a_suspect_server_are_told_apart() {
+    let mut lessons = taught();
+    let limit = |rig: &Rig| rig.balancer.lessons(rig.now).servers[1].limit;
+    let mut next = rig(4);
+    let before = limit(&next);
+    lessons.servers[1].started = Some(Time(5));
+    lessons.servers[2].suspect = true;
+    next.tell(Event::Learned(lessons));
+    assert_eq!(limit(&next), before, "it was another process");
+    assert_eq!(next.balancer.fleet(next.now).avoided, 1);
+}
+
+#[test]
+fn nonsense_is_left_out() {
+    for odd in [f64::NAN, f64::INFINITY, -1.0, 0.0, 1e300] {
+        let mut lessons = taught();
+        (lessons.level, lessons.median, lessons.warm_sent) = (odd, odd, odd);
+        lessons.class_pace = vec![odd; 3];
+        for lesson in &mut lessons.servers {
+            (lesson.limit, lesson.stretch, lesson.pace, lesson.cold_sent) = (odd, odd, odd, odd);
+        }
+        lessons.servers[0].server = ServerId(99);
+        let mut next = rig(4);
+        next.tell(Event::Learned(lessons));
+        for _ in 0..50 {
+            assert!(next.ask_and_answer(20.0).is_some(), "{odd}");
+        }
+        next.assert_rules();
+    }
+}
