Hold nothing while three quarters of the clients' connections are open

Ruled out: the accept loop, which had places left (217), and the old process, whose connections were closed as told.

Lines: `hold` in src/logic.rs was bounded by 500 alone, more than clients can ask.

The test in tests/overload.rs fails with the share out of reach.

--- a/agent/src/config.rs
+++ b/agent/src/config.rs
@@ -14,6 +14,9 @@
 const SOCKETS_LEAST: usize = 80;
 const SOCKETS_MOST: usize = 1 << 20;
 
+/// The part of the descriptors that clients may use for their requests, by the terms.
+const CLIENTS_SHARE: usize = 3;
+
 /// Everything that one start of the agent goes by.
 #[derive(Debug)]
 pub struct Config {
@@ -99,7 +102,7 @@
         let discovery = address("PROXY_DISCOVERY", file.discovery)?;
         let operator = var("PROXY_OPERATOR").or(file.operator).filter(|text| !text.is_empty());
         let operator = operator.map(|text| parse("PROXY_OPERATOR", text)).transpose()?;
-        let settings = micasail_settings::settings(&file.settings);
+        let mut settings = micasail_settings::settings(&file.settings);
         settings.check().map_err(|e| e.to_string())?;
         let names = micasail_settings::names(&file.settings);
         if let Some(place) = names.classes.iter().position(String::is_empty) {
@@ -108,6 +111,8 @@
         if file.limits.sockets.is_some_and(|sockets| sockets < SOCKETS_LEAST) {
             return Err(format!("limits.sockets is below {SOCKETS_LEAST}; that leaves no room to serve"));
         }
+        let sockets = file.limits.sockets.unwrap_or(SOCKETS).min(SOCKETS_MOST);
+        settings.at_once = Some((sockets / CLIENTS_SHARE) as u32);
         let seed = file.seed.unwrap_or_default();
         let known = match file.known {
             serde_json::Value::Null => List::default(),
@@ -120,7 +125,7 @@
             operator,
             // Any text makes a seed; only the form of the deployment's own is read as a number.
             seed: u64::from_str_radix(&seed, 16).unwrap_or_else(|_| micasail_settings::fnv1a(&seed)),
-            sockets: file.limits.sockets.unwrap_or(SOCKETS).min(SOCKETS_MOST),
+            sockets,
             memory_mb: file.limits.memory_mb.unwrap_or(MEMORY_MB) as u64,
             shared: var("PROXY_LISTEN_FD").is_some_and(|fd| !fd.is_empty()),
             settings,
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -206,6 +206,8 @@
         _ => ReportField::Other,
     };
     Settings {
+        // Descriptors are the host's to know.
+        at_once: None,
         balancers: params.balancers.unwrap_or(standard.balancers),
         zone: ZoneId(params.zone),
         classes,
--- a/src/api.rs
+++ b/src/api.rs
@@ -311,6 +311,8 @@
     pub overload_factor: f64,
     /// ... for this long, a cold server falls over.
     pub fall_after: Span,
+    /// Requests that clients can have open at once, if that is bounded.
+    pub at_once: Option<u32>,
     /// How often at most events come.
     pub period: Span,
     /// A server closes a connection that has stood idle for this long.
@@ -346,6 +348,7 @@
             warm_after: Span::from_ms(20_000.0),
             overload_factor: 2.0,
             fall_after: Span::from_ms(1000.0),
+            at_once: None,
             period: Span::from_ms(1.0),
             keepalive: Span::from_ms(15_000.0),
         }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -109,6 +109,9 @@
 const WAIT_MOST: f64 = 0.7;
 /// A tenant is over its share at this multiple of its fraction; usage wobbles without anyone flooding.
 const SHARE_SLACK: f64 = 1.4;
+/// Nothing is held back while more than this share of what clients can have open is open: with all of it
+/// held, a request that could be served at once would not even be heard.
+const HOLD_SHARE: f64 = 0.75;
 /// Longest local queue, in requests.
 const HELD_MOST: usize = 500;
 /// Pause before the list is asked for again, doubled on each failure up to what the site asks. All balancers
@@ -305,7 +308,8 @@
 
     /// Keeps a request for later, or ends it if that is hopeless.
     fn hold(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
-        if self.held.len() >= HELD_MOST {
+        let most = self.settings.at_once.map_or(f64::INFINITY, |n| HOLD_SHARE * f64::from(n));
+        if self.held.len() >= HELD_MOST || self.live.len() as f64 > most {
             self.end(now, id, out);
             return;
         }
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -405,3 +405,22 @@
     let (unserved, again) = resets_at(180.0);
     assert!(again < 0.13, "late answers: {again:.3} tried again, {unserved:.3} given up");
 }
+
+/// Clients that can have forty requests open, and one server that is silent: the last ten places stay free for what
+/// can be answered at once, and a request that would be held in one of them is refused there and then.
+#[test]
+fn what_is_held_leaves_clients_room_to_ask() {
+    for at_once in [None, Some(40)] {
+        let classes = vec![Class { aim: Span::from_ms(2000.0), ..class(Effect::Idempotent) }];
+        let classes = classes.into_iter().map(|c| Class { deadline: Span::from_ms(8000.0), ..c }).collect();
+        let mut rig = Rig::new(Settings { at_once, classes, ..Settings::default() }, 3);
+        rig.list(fleet(1, 1, 1));
+        let open = (0..60).filter(|_| {
+            let (id, _) = rig.ask(0);
+            !refused(&rig.actions, id)
+        });
+        let open = open.count();
+        assert_eq!(open, at_once.map_or(60, |_| 30), "{at_once:?}");
+        rig.assert_rules();
+    }
+}
