--- /dev/null
+++ b/lab/src/lib.rs
@@ -0,0 +1,13 @@
+//! The proving ground: real agents between stand-ins for all that is around them.
+//!
+//! A scenario and a seed make a plan; a play carries it out on loopback sockets; the oracle judges from what crossed
+//! them. See `docs/proving-ground.md`.
+
+pub mod clock;
+pub mod draw;
+pub mod link;
+pub mod oracle;
+pub mod plan;
+pub mod renderer;
+pub mod result;
+pub mod scenario;
--- /dev/null
+++ b/lab/src/link.rs
@@ -0,0 +1,187 @@
+//! The links between agents and renderers: one for each pair, with two ways of its own.
+//!
+//! Only one request at a time travels on a connection, so a link acts on whole messages: it holds each for as long as
+//! its way takes, loses some (sent again after a time-out, as TCP does), and holds all while it is cut.
+
+use crate::draw::Seed;
+use crate::plan::Plan;
+use crate::renderer::Micros;
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// What TCP waits before it sends a lost segment again: Linux's least.
+const RESEND: Duration = Duration::from_millis(200);
+
+/// The state of one pair's link.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct State {
+    /// Requests do not arrive.
+    pub cut_to: bool,
+    /// Answers do not.
+    pub cut_back: bool,
+    /// The share of requests that is lost and sent again.
+    pub loss_to: f64,
+    /// The share of answers.
+    pub loss_back: f64,
+    /// What requests take longer.
+    pub more_to_us: f64,
+    /// What answers take longer.
+    pub more_back_us: f64,
+}
+
+impl State {
+    /// Nothing is wrong.
+    pub const GOOD: State = State {
+        cut_to: false,
+        cut_back: false,
+        loss_to: 0.0,
+        loss_back: 0.0,
+        more_to_us: 0.0,
+        more_back_us: 0.0,
+    };
+
+    /// No connection comes up: it takes both ways.
+    pub fn closed(&self) -> bool {
+        self.cut_to || self.cut_back
+    }
+}
+
+/// One way of a link.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Toward {
+    /// From the agent.
+    Renderer,
+    /// From the renderer.
+    Agent,
+}
+
+/// A pair's link.
+pub struct Link {
+    way_us: f64,
+    jitter: f64,
+    state: watch::Sender<State>,
+}
+
+/// All links.
+pub struct Links {
+    links: Vec<Link>,
+    renderers: usize,
+}
+
+impl Links {
+    /// As the plan lays them.
+    pub fn new(plan: &Plan) -> Self {
+        let mut links = Vec::with_capacity(plan.agents.len() * plan.renderers.len());
+        for agent in &plan.agents {
+            for renderer in &plan.renderers {
+                links.push(Link {
+                    way_us: plan.ways_us[agent.zone][renderer.zone],
+                    jitter: plan.jitter,
+                    state: watch::Sender::new(State::GOOD),
+                });
+            }
+        }
+        Links { links, renderers: plan.renderers.len() }
+    }
+
+    /// A pair's link.
+    pub fn of(&self, agent: usize, renderer: usize) -> &Link {
+        &self.links[agent * self.renderers + renderer]
+    }
+}
+
+impl Link {
+    /// How the link is now.
+    pub fn state(&self) -> State {
+        *self.state.borrow()
+    }
+
+    /// It is like this from now on.
+    pub fn set(&self, state: State) {
+        self.state.send_if_modified(|now| std::mem::replace(now, state) != state);
+    }
+
+    /// To hear of changes.
+    pub fn changes(&self) -> watch::Receiver<State> {
+        self.state.subscribe()
+    }
+
+    /// How long a message takes if nothing is lost or cut.
+    pub fn takes(&self, toward: Toward, draw: &mut Seed) -> Duration {
+        let state = self.state();
+        let (more, loss) = match toward {
+            Toward::Renderer => (state.more_to_us, state.loss_to),
+            Toward::Agent => (state.more_back_us, state.loss_back),
+        };
+        let way = self.way_us * (1.0 + self.jitter * (draw.unit() - 0.5)) + more;
+        let mut takes = Duration::from_micros(way as Micros);
+        let mut again = RESEND;
+        // TCP doubles its wait each time; six losses in a row are a cut.
+        for _ in 0..6 {
+            if draw.unit() >= loss {
+                break;
+            }
+            takes += again;
+            again *= 2;
+        }
+        takes
+    }
+
+    /// Carries a message: returns when it has arrived.
+    pub async fn carry(&self, toward: Toward, draw: &mut Seed) {
+        let takes = self.takes(toward, draw);
+        crate::clock::sleep(takes).await;
+        let cut = |state: &State| match toward {
+            Toward::Renderer => state.cut_to,
+            Toward::Agent => state.cut_back,
+        };
+        if cut(&self.state()) {
+            let mut changes = self.changes();
+            // The links live as long as the play.
+            let _ = changes.wait_for(|state| !cut(state)).await;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn link() -> Link {
+        Link { way_us: 12_000.0, jitter: 0.0, state: watch::Sender::new(State::GOOD) }
+    }
+
+    #[test]
+    fn lost_messages_are_sent_again_and_the_share_holds() {
+        let link = link();
+        let mut draw = Seed(4);
+        assert_eq!(link.takes(Toward::Agent, &mut draw), Duration::from_millis(12));
+        link.set(State { loss_back: 0.25, ..State::GOOD });
+        let late =
+            (0..4000).filter(|_| link.takes(Toward::Agent, &mut draw) > Duration::from_millis(100)).count();
+        assert!((900..1100).contains(&late), "{late}");
+        assert_eq!(
+            link.takes(Toward::Renderer, &mut draw),
+            Duration::from_millis(12),
+            "the other way loses nothing"
+        );
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_cut_holds_messages_one_way_until_it_is_over() {
+        let link = std::sync::Arc::new(link());
+        link.set(State { cut_back: true, ..State::GOOD });
+        let begun = tokio::time::Instant::now();
+        link.carry(Toward::Renderer, &mut Seed(1)).await;
+        assert!(begun.elapsed() < Duration::from_millis(20));
+        let held = {
+            let link = link.clone();
+            tokio::spawn(async move { link.carry(Toward::Agent, &mut Seed(1)).await })
+        };
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        assert!(!held.is_finished());
+        link.set(State::GOOD);
+        held.await.expect("carried");
+        assert!(begun.elapsed() >= Duration::from_secs(3));
+    }
+}
--- /dev/null
+++ b/lab/src/main.rs
@@ -0,0 +1,3 @@
+//! The proving ground's command.
+
+fn main() {}
