Play a scenario for real: stand-ins, agents' processes, faults and clients

The thin whole of the proving ground: `lab run quickstart` builds the agent, sets renderers, discovery and clients up on loopback addresses of its own, plays the plan in real time and judges it. `lab up`, `check` and `list` beside it.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,3 +1,271 @@
-//! The proving ground's command.
+//! The proving ground's command. Exit codes: 0 all held, 1 something that was expected did not, 2 bad input, 3 the lab
+//! itself ran late, 130 broken off.
 
-fn main() {}
+use clap::{Args, Parser, Subcommand};
+use indicatif::{ProgressBar, ProgressStyle};
+use micasail_lab::plan::{self, Plan};
+use micasail_lab::play::{self, End, Stage, Tick};
+use micasail_lab::result::Played;
+use micasail_lab::scenario::{self, Scenario};
+use micasail_lab::table;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+const HELD: u8 = 0;
+const FELL_SHORT: u8 = 1;
+const BAD_INPUT: u8 = 2;
+const LATE: u8 = 3;
+const BROKEN_OFF: u8 = 130;
+
+/// Plays real agents between stand-ins for renderers, discovery, clients and the network, and judges them.
+#[derive(Parser)]
+#[command(name = "lab", version, max_term_width = 100)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Plays a scenario and writes plan.json, result.json and report.html
+    Run(Run),
+    /// Sets a scenario's world up and holds it open, with a request line to try
+    Up(Up),
+    /// Says what is wrong with a scenario, or what it would play
+    Check(Check),
+    /// Lists the scenarios that come with the lab
+    List,
+}
+
+#[derive(Args)]
+struct Which {
+    /// A scenario of `lab list`, or a file
+    scenario: String,
+    /// Replaces a key of the scenario, as in `load=0.7` or `agents.count=8`
+    #[arg(long = "set", value_name = "KEY=VALUE", value_parser = pair)]
+    sets: Vec<(String, String)>,
+    /// Fixes arrivals and faults; the scenario's own if absent
+    #[arg(long)]
+    seed: Option<u64>,
+}
+
+#[derive(Args)]
+struct Run {
+    #[command(flatten)]
+    which: Which,
+    /// The agent's program; `bellcroft` beside this one if absent
+    #[arg(long, value_name = "PATH")]
+    agent: Option<PathBuf>,
+    /// Where the results go
+    #[arg(long, value_name = "FOLDER")]
+    out: Option<PathBuf>,
+    /// Says nothing but what went wrong
+    #[arg(long)]
+    quiet: bool,
+}
+
+#[derive(Args)]
+struct Up {
+    #[command(flatten)]
+    which: Which,
+    /// The agent's program; `bellcroft` beside this one if absent
+    #[arg(long, value_name = "PATH")]
+    agent: Option<PathBuf>,
+    /// Ends by itself after so many seconds
+    #[arg(long, value_name = "SECONDS", default_value_t = 3600)]
+    seconds: u64,
+}
+
+#[derive(Args)]
+struct Check {
+    #[command(flatten)]
+    which: Which,
+    /// Prints the plan as JSON
+    #[arg(long)]
+    plan: bool,
+}
+
+fn pair(text: &str) -> Result<(String, String), String> {
+    let (key, value) = text.split_once('=').ok_or("KEY=VALUE was expected")?;
+    Ok((key.to_owned(), value.to_owned()))
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let done = match cli.command {
+        Command::Run(args) => on_runtime(run(args)),
+        Command::Up(args) => on_runtime(up(args)),
+        Command::Check(args) => check(&args),
+        Command::List => {
+            list();
+            Ok(HELD)
+        }
+    };
+    match done {
+        Ok(code) => ExitCode::from(code),
+        Err(why) => {
+            eprintln!("lab: {why}");
+            ExitCode::from(BAD_INPUT)
+        }
+    }
+}
+
+fn on_runtime(work: impl std::future::Future<Output = Result<u8, String>>) -> Result<u8, String> {
+    // A play holds a listener for each pair of agent and renderer: as many descriptors as this process may have.
+    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile);
+    let raised = rustix::process::Rlimit { current: limit.maximum, maximum: limit.maximum };
+    // Where it may not have more, a listener that finds none says so.
+    let _ = rustix::process::setrlimit(rustix::process::Resource::Nofile, raised);
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    runtime.map_err(|e| format!("cannot start the runtime: {e}"))?.block_on(work)
+}
+
+fn planned(which: &Which) -> Result<(Scenario, Plan), String> {
+    let (name, scenario) = scenario::find(&which.scenario, &which.sets).map_err(|e| e.to_string())?;
+    let plan = plan::plan(&name, &scenario, which.seed.unwrap_or(scenario.seed));
+    Ok((scenario, plan))
+}
+
+fn list() {
+    for (name, text) in scenario::BUILT_IN {
+        let about = scenario::read(name, text, &[]).map_or_else(|e| e.to_string(), |s| s.about);
+        println!("{name:<14} {about}");
+    }
+}
+
+fn check(args: &Check) -> Result<u8, String> {
+    let (_, plan) = planned(&args.which)?;
+    if args.plan {
+        println!("{}", serde_json::to_string(&plan).map_err(|e| e.to_string())?);
+    } else {
+        print!("{}", table::plan(&plan));
+    }
+    Ok(HELD)
+}
+
+/// Ctrl-C, or a word to end.
+async fn told_to_end() -> String {
+    use tokio::signal::unix::{signal, SignalKind};
+    let (Ok(mut int), Ok(mut term)) = (signal(SignalKind::interrupt()), signal(SignalKind::terminate()))
+    else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = int.recv() => "Ctrl-C".into(),
+        _ = term.recv() => "SIGTERM".into(),
+    }
+}
+
+/// A panic anywhere in the lab breaks the play off instead of leaving it without one of its parts.
+async fn panicked() -> String {
+    use std::sync::OnceLock;
+    static PANICKED: OnceLock<tokio::sync::watch::Sender<bool>> = OnceLock::new();
+    let panicked = PANICKED.get_or_init(|| {
+        let before = std::panic::take_hook();
+        std::panic::set_hook(Box::new(move |info| {
+            before(info);
+            if let Some(panicked) = PANICKED.get() {
+                panicked.send_replace(true);
+            }
+        }));
+        tokio::sync::watch::Sender::new(false)
+    });
+    // The sender is never dropped.
+    let _ = panicked.subscribe().wait_for(|panicked| *panicked).await;
+    "a panic in the lab".into()
+}
+
+async fn stopped() -> String {
+    tokio::select! {
+        why = told_to_end() => why,
+        why = panicked() => why,
+    }
+}
+
+fn write(folder: &Path, name: &str, text: &str) -> Result<(), String> {
+    let file = folder.join(name);
+    std::fs::write(&file, text).map_err(|e| format!("{}: {e}", file.display()))
+}
+
+async fn run(args: Run) -> Result<u8, String> {
+    let (scenario, plan) = planned(&args.which)?;
+    let plan = Arc::new(plan);
+    let program = play::program(args.agent.as_deref())?;
+    let default = || PathBuf::from("target/lab").join(format!("{}-{}", plan.scenario, plan.seed));
+    let out = args.out.unwrap_or_else(default);
+    let logs = out.join("agents");
+    std::fs::create_dir_all(&logs).map_err(|e| format!("{}: {e}", logs.display()))?;
+    write(&out, "plan.json", &serde_json::to_string(&*plan).map_err(|e| e.to_string())?)?;
+    if !args.quiet {
+        print!("{}", table::plan(&plan));
+    }
+    let bar = if args.quiet { ProgressBar::hidden() } else { ProgressBar::new(plan.length_us / 1000) };
+    let style = "{bar:30} {msg}";
+    bar.set_style(ProgressStyle::with_template(style).unwrap_or_else(|_| ProgressStyle::default_bar()));
+    let total = plan.length_us as f64 / 1e6;
+    let tell = |tick: Tick| {
+        let Tick::Progress { at_s, ended, served, rules } = tick;
+        bar.set_position((at_s * 1000.0) as u64);
+        let rules = if rules.kept() { "rules kept" } else { "RULES BROKEN" };
+        bar.set_message(format!(
+            "{:.0} of {total:.0} s, {ended} ended, {served} served, {rules}",
+            at_s.min(total)
+        ));
+    };
+    let played = play::play(plan.clone(), &program, &logs, stopped(), tell).await;
+    bar.finish_and_clear();
+    let End { played, breaches, broken_off } = played?;
+    write(&out, "result.json", &serde_json::to_string_pretty(&played).map_err(|e| e.to_string())?)?;
+    write(
+        &out,
+        "report.html",
+        &micasail_lab::report::html(&plan, &played, &breaches, broken_off.as_deref()),
+    )?;
+    if !args.quiet {
+        print!("{}", table::played(&played));
+        println!("report: {}", out.join("report.html").display());
+    }
+    for breach in &breaches {
+        eprintln!("lab: rule broken at {:.3} s: {}", breach.at_us as f64 / 1e6, breach.what);
+    }
+    verdict(&scenario, &played, broken_off)
+}
+
+fn verdict(scenario: &Scenario, played: &Played, broken_off: Option<String>) -> Result<u8, String> {
+    if let Some(why) = broken_off {
+        eprintln!("lab: broken off after {:.1} s: {why}", played.played_s);
+        return Ok(BROKEN_OFF);
+    }
+    if played.late_p99_ms > scenario.late_p99_most_ms {
+        eprintln!(
+            "lab: no verdict: the lab itself ran late, {:.1} ms at the 99th percentile, over {} ms",
+            played.late_p99_ms, scenario.late_p99_most_ms
+        );
+        return Ok(LATE);
+    }
+    let short = played.falls_short(&scenario.expect);
+    for line in &short {
+        eprintln!("lab: {line}");
+    }
+    Ok(if short.is_empty() { HELD } else { FELL_SHORT })
+}
+
+async fn up(args: Up) -> Result<u8, String> {
+    let (_, plan) = planned(&args.which)?;
+    let plan = Arc::new(plan);
+    let program = play::program(args.agent.as_deref())?;
+    let folder = tempfile::tempdir().map_err(|e| format!("no folder for the agents: {e}"))?;
+    let stage = Stage::set_up(plan.clone(), &program, folder.path()).await?;
+    stage.world.clock.begin();
+    print!("{}", table::addresses(&stage));
+    println!("Ctrl-C ends it.");
+    tokio::select! {
+        _ = stopped() => {}
+        why = stage.world.broken_off() => eprintln!("lab: {why}"),
+        () = tokio::time::sleep(Duration::from_secs(args.seconds)) => {}
+    }
+    stage.take_down().await;
+    Ok(HELD)
+}
--- a/lab/src/oracle.rs
+++ b/lab/src/oracle.rs
@@ -427,6 +427,12 @@
         }
     }
 
+    /// An agent has sent something on a connection where it owed no answer.
+    pub fn answered_twice(&mut self, at: Micros, agent: usize) {
+        let name = self.plan.agents[agent].name.clone();
+        self.breach(Rule::Lost, at, || format!("{name} sent an answer where none was owed"));
+    }
+
     /// A request has ended over all its tries.
     pub fn settled(&mut self, arrival: usize, outcome: Outcome) {
         self.outcomes[arrival] = Some(outcome);
--- a/lab/src/renderer.rs
+++ b/lab/src/renderer.rs
@@ -13,6 +13,8 @@
 
 /// While its speed changes by itself a renderer is looked at this often.
 const STEP: Micros = 20_000;
+/// No job takes longer.
+const LONG: Micros = 1 << 40;
 /// Requests that a cold renderer is granted over its budget, as chance brings them in bunches.
 const SLACK_REQUESTS: f64 = 2.0;
 
@@ -320,6 +322,11 @@
         self.paused = paused;
     }
 
+    /// Whether it stands still.
+    pub fn paused(&self) -> bool {
+        self.paused
+    }
+
     /// It does its work so many times slower.
     pub fn slow(&mut self, now: Micros, times: f64) {
         self.advance(now);
@@ -329,7 +336,7 @@
     /// Carries the work on to `now`; [`Renderer::finished`] says what has been done by then.
     fn advance(&mut self, now: Micros) {
         while self.now < now {
-            let step = (self.now + STEP).min(now);
+            let step = self.now.saturating_add(self.step()).min(now);
             let step = self.due().map_or(step, |due| due.clamp(self.now + 1, step));
             let passed = (step - self.now) as f64;
             if !self.paused && self.life == Life::Up {
@@ -347,6 +354,16 @@
         }
     }
 
+    /// How long its speed stays as it is if nothing happens.
+    fn step(&self) -> Micros {
+        let steady = self.warmth() >= 1.0 && self.spec.choke.is_none();
+        if steady {
+            LONG
+        } else {
+            STEP
+        }
+    }
+
     /// Standard work that each job on the cores gets done in a microsecond.
     fn each(&self) -> f64 {
         let sharing = f64::from(self.spec.cores) / self.on_cores().max(1) as f64;
@@ -431,9 +448,9 @@
         if self.paused || self.life != Life::Up {
             return None;
         }
-        let each = self.each();
+        let (each, step) = (self.each(), self.step() as f64);
         let work = self.jobs.iter().map(|job| match job.phase {
-            Phase::Work(left) => self.now + (left / each).ceil().min(STEP as f64).max(1.0) as Micros,
+            Phase::Work(left) => self.now + (left / each).ceil().min(step).max(1.0) as Micros,
             Phase::Apart(until) => until,
         });
         work.chain(self.queue.iter().map(|waiting| waiting.expires)).min()
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -456,6 +456,16 @@
         }
     }
 
+    /// Whether it strikes some agents.
+    pub fn strikes_agents(self) -> bool {
+        self.takes().agents
+    }
+
+    /// Whether it strikes some renderers.
+    pub fn strikes_renderers(self) -> bool {
+        self.takes().renderers
+    }
+
     /// Its word in a scenario.
     pub fn word(self) -> String {
         serde_json::to_value(self).ok().and_then(|v| v.as_str().map(String::from)).unwrap_or_default()
