Report plays on one page, and show the oracle to find each wrong agent

Need: a play told its table alone, and nothing showed that a check of the oracle can fail. Change: report.html with outcomes over time and the faults as bands, latencies, renderers' load and warmth, traffic from zone to zone; tests play the quickstart with the real agent, a small agent that is wrong in seven ways one by one (answers twice, never, with what nobody made; repeats the unsafe; invents; sends to the drained; floods the cold), crashes and refused starts, Ctrl-C and SIGKILL of the lab with nothing left behind. Found by it: a renderer whose finished work was not fetched went on by microseconds; a test of its own stands for that.

--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -2,19 +2,19 @@
 
 use crate::oracle::{Breach, Rules};
 use crate::plan::Plan;
-use crate::result::{self, Played};
+use crate::result::{self, Own, Played, Sample};
 use crate::scenario::Kin;
 use crate::stage::clients::Clients;
 use crate::stage::directory::Directory;
 use crate::stage::faults::Faults;
-use crate::stage::machine::Machine;
+use crate::stage::machine::{Machine, Presence};
 use crate::stage::processes::{own_cpu_s, Agents, Used};
 use crate::stage::{gate, World};
 use std::path::{Path, PathBuf};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::task::JoinHandle;
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, sleep_until, Instant};
 
 /// After the last arrival a play goes on until all has ended, but no longer than its deadlines take and this.
 const REST: Duration = Duration::from_secs(2);
@@ -122,6 +122,8 @@
     let faults = Faults::new(world.clone(), agents.clone()).begin();
     let arriving = tokio::spawn(clients.clone().arrive(world.clone()));
 
+    let looked = Arc::new(Mutex::new(vec![Vec::new(); plan.renderers.len()]));
+    tasks.push(tokio::spawn(look(world.clone(), looked.clone())));
     let deadline = plan.classes.iter().map(|c| c.deadline_us).max().unwrap_or(0);
     let faults_end = plan.faults.iter().map(|f| f.end_us).max().unwrap_or(0);
     let last = world.clock.instant(plan.length_us.max(faults_end) + deadline) + REST;
@@ -149,16 +151,40 @@
     };
     let ended_at = world.clock.now();
     arriving.abort();
-    let own_cpu = own_cpu_s() - own_before;
-    let own_late = (world.clock.late_ms(0.5), world.clock.late_ms(0.99), world.clock.late_ms(1.0));
+    let late = |quantile| world.clock.late_ms(quantile);
+    let mut own = Own {
+        ended_at,
+        late_ms: (late(0.5), late(0.99), late(1.0)),
+        cpu_s: own_cpu_s() - own_before,
+        samples: Vec::new(),
+        connections: clients.connections(),
+    };
     faults.iter().for_each(JoinHandle::abort);
     let stage = Stage { world: world.clone(), agents, tasks };
     let used = stage.take_down().await;
     let ledger = world.ledger();
-    let played = result::sum_up(&plan, &ledger, used, ended_at, own_late, own_cpu, clients.connections());
+    own.samples = std::mem::take(&mut *looked.lock().unwrap_or_else(|poisoned| poisoned.into_inner()));
+    let played = result::sum_up(&plan, &ledger, used, own);
     Ok(End { played, breaches: ledger.breaches.clone(), broken_off })
 }
 
+/// Notes how each renderer stands every so often; never ends.
+async fn look(world: Arc<World>, looked: Arc<Mutex<Vec<Vec<Sample>>>>) {
+    let step = (result::SAMPLE_S * 1e6) as u64;
+    for n in 0.. {
+        sleep_until(world.clock.instant(n * step)).await;
+        let mut looked = looked.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        for (machine, samples) in world.machines.iter().zip(looked.iter_mut()) {
+            let up = machine.seen().borrow().0 == Presence::Up;
+            samples.push(machine.with(|renderer| Sample {
+                up,
+                in_flight: renderer.in_flight() as u32,
+                warmth: renderer.warmth(),
+            }));
+        }
+    }
+}
+
 /// Finds the agent's program: the one that is named, or `bellcroft` beside the lab's own, built first where the lab was
 /// started by cargo.
 pub fn program(named: Option<&Path>) -> Result<PathBuf, String> {
--- a/lab/src/renderer.rs
+++ b/lab/src/renderer.rs
@@ -337,7 +337,7 @@
     fn advance(&mut self, now: Micros) {
         while self.now < now {
             let step = self.now.saturating_add(self.step()).min(now);
-            let step = self.due().map_or(step, |due| due.clamp(self.now + 1, step));
+            let step = self.turns().map_or(step, |due| due.clamp(self.now + 1, step));
             let passed = (step - self.now) as f64;
             if !self.paused && self.life == Life::Up {
                 let each = self.each() * passed;
@@ -443,17 +443,26 @@
         }
     }
 
+    /// When the first of the jobs on the cores has its work done, at the present speed.
+    fn turns(&self) -> Option<Micros> {
+        let (each, step) = (self.each(), self.step() as f64);
+        let works = self.jobs.iter().filter_map(|job| match job.phase {
+            Phase::Work(left) => Some(self.now + (left / each).ceil().min(step).max(1.0) as Micros),
+            Phase::Apart(_) => None,
+        });
+        works.min()
+    }
+
     /// When something is next done if nothing else happens; none while it is idle or stands still.
     pub fn due(&self) -> Option<Micros> {
         if self.paused || self.life != Life::Up {
             return None;
         }
-        let (each, step) = (self.each(), self.step() as f64);
-        let work = self.jobs.iter().map(|job| match job.phase {
-            Phase::Work(left) => self.now + (left / each).ceil().min(step).max(1.0) as Micros,
-            Phase::Apart(until) => until,
+        let apart = self.jobs.iter().filter_map(|job| match job.phase {
+            Phase::Apart(until) => Some(until),
+            Phase::Work(_) => None,
         });
-        work.chain(self.queue.iter().map(|waiting| waiting.expires)).min()
+        apart.chain(self.queue.iter().map(|waiting| waiting.expires)).chain(self.turns()).min()
     }
 }
 
@@ -580,6 +589,17 @@
         assert!((799_000..=801_000).contains(&done[0].1), "{done:?}");
     }
 
+    #[test]
+    fn what_is_done_and_not_yet_fetched_does_not_slow_the_machine_down() {
+        let mut renderer = Renderer::warm(spec(), rule());
+        assert_eq!(renderer.arrive(0, 1, 1000.0, 0, u64::MAX), Ok(true));
+        // Done after a millisecond, it is fetched after an hour, which takes steps by what happens and not by time.
+        let begun = std::time::Instant::now();
+        assert_eq!(renderer.arrive(3_600_000_000, 2, 1000.0, 0, u64::MAX), Ok(true));
+        assert!(begun.elapsed() < std::time::Duration::from_secs(1));
+        assert_eq!(renderer.finished(3_600_000_001), [Finish::Done(1)]);
+    }
+
     #[test]
     fn a_crowded_one_turns_slower_until_it_has_rested() {
         let choke =
--- a/lab/src/result.rs
+++ b/lab/src/result.rs
@@ -28,6 +28,20 @@
     "agent_memory_mb",
 ];
 
+/// Renderers are looked at this often for the report, in seconds.
+pub const SAMPLE_S: f64 = 0.25;
+
+/// How a renderer stood at a moment.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct Sample {
+    /// Its process runs, and is not cut off by its machine's vanishing.
+    pub up: bool,
+    /// Requests that it held.
+    pub in_flight: u32,
+    /// Its capacity by its warmth, from its cold share to 1.
+    pub warmth: f64,
+}
+
 /// The longest time that is told apart.
 const LONGEST_US: u64 = 3_600_000_000;
 /// The worst stretch is sought over as many seconds.
@@ -104,6 +118,9 @@
     pub renderer_connections: u64,
     /// Attempts by zone of the agent and zone of the renderer.
     pub traffic: Vec<Vec<u64>>,
+    /// Each renderer every [`SAMPLE_S`], for the report alone.
+    #[serde(skip)]
+    pub samples: Vec<Vec<Sample>>,
     /// What each agent used.
     pub agents: Vec<Used>,
     /// Second by second.
@@ -146,16 +163,22 @@
     Failed,
 }
 
+/// What the lab knows of its own part in a play.
+pub struct Own {
+    /// When the play ended.
+    pub ended_at: Micros,
+    /// Its lateness in milliseconds: median, 99th percentile, most.
+    pub late_ms: (f64, f64, f64),
+    /// Its processor time in seconds.
+    pub cpu_s: f64,
+    /// Each renderer every [`SAMPLE_S`].
+    pub samples: Vec<Vec<Sample>>,
+    /// Connections that its clients opened.
+    pub connections: usize,
+}
+
 /// Sums a play up.
-pub fn sum_up(
-    plan: &Plan,
-    ledger: &Ledger,
-    agents: Vec<Used>,
-    ended_at: Micros,
-    (late_p50_ms, late_p99_ms, late_most_ms): (f64, f64, f64),
-    lab_cpu_s: f64,
-    client_connections: usize,
-) -> Played {
+pub fn sum_up(plan: &Plan, ledger: &Ledger, agents: Vec<Used>, own: Own) -> Played {
     let seconds = plan.length_us.div_ceil(1_000_000) as usize;
     let mut windows: Vec<Window> =
         (0..seconds).map(|s| Window { from_s: s as u64, ..Window::default() }).collect();
@@ -215,7 +238,7 @@
         .windows(WORST_S.min(ran.len()).max(1))
         .map(|ten| share(ten.iter().map(|w| w.earned).sum(), ten.iter().map(|w| w.asked).sum()))
         .fold(f64::INFINITY, f64::min);
-    let played_s = plan.length_us.min(ended_at) as f64 / 1e6;
+    let played_s = plan.length_us.min(own.ended_at) as f64 / 1e6;
     let classes = plan
         .classes
         .iter()
@@ -256,19 +279,20 @@
         p50_ms: at(&times, 0.5),
         p99_ms: at(&times, 0.99),
         p999_ms: at(&times, 0.999),
-        late_p50_ms,
-        late_p99_ms,
-        late_most_ms,
-        lab_cpu_us_per_request: share(lab_cpu_s * 1e6, n),
+        late_p50_ms: own.late_ms.0,
+        late_p99_ms: own.late_ms.1,
+        late_most_ms: own.late_ms.2,
+        lab_cpu_us_per_request: share(own.cpu_s * 1e6, n),
         agent_cpu_us_per_request: share(agents.iter().map(|a| a.cpu_s).sum::<f64>() * 1e6, n),
         agent_memory_mb: agents.iter().map(|a| a.memory_mb).fold(0.0, f64::max),
         classes,
         answers: ledger.answers.iter().map(|(kind, n)| (*kind, *n)).collect(),
         try_ends: ledger.try_ends.iter().map(|(end, n)| (word(end), *n)).collect(),
         probes: ledger.probes,
-        client_connections: client_connections as u64,
+        client_connections: own.connections as u64,
         renderer_connections: ledger.connections,
         traffic: ledger.traffic.clone(),
+        samples: own.samples,
         agents,
         windows,
     }
--- /dev/null
+++ b/lab/tests/plays.rs
@@ -0,0 +1,219 @@
+//! Plays of the lab's own program: the quickstart with the real agent, and small plays with agents that are wrong in
+//! one way each, which the oracle has to find.
+#![allow(missing_docs)]
+
+use serde_json::Value;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output, Stdio};
+use std::sync::{Mutex, MutexGuard, OnceLock};
+use std::time::{Duration, Instant};
+
+/// One play at a time: each wants the machine for itself.
+fn alone() -> MutexGuard<'static, ()> {
+    static ALONE: Mutex<()> = Mutex::new(());
+    ALONE.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
+
+/// A program that is built beside this test, as it is now: `cargo test --test plays` alone builds neither the agent nor
+/// the example, and would find those of an earlier day.
+fn built(name: &str) -> PathBuf {
+    static BUILT: OnceLock<()> = OnceLock::new();
+    BUILT.get_or_init(|| {
+        let root = Path::new(env!("CARGO_MANIFEST_DIR")).parent().expect("the workspace");
+        let mut build = Command::new(env!("CARGO"));
+        build.args(["build", "--quiet", "--locked", "--workspace", "--bins", "--examples"]).current_dir(root);
+        assert!(build.status().expect("cargo runs").success());
+    });
+    let own = std::env::current_exe().expect("a program");
+    own.parent().and_then(Path::parent).expect("a folder").join(name)
+}
+
+/// The wrong agent under the name of its fault.
+fn wrong(folder: &Path, how: &str) -> PathBuf {
+    let program = folder.join(how);
+    std::fs::copy(built("examples/wrong_agent"), &program).expect("a program");
+    program
+}
+
+fn lab(args: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_lab"));
+    command.args(args).env_remove("CARGO").stdin(Stdio::null());
+    command
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+/// A play with few requests; what goes wrong is added by the test.
+const SMALL: &str = "about = \"small\"\nseconds = 4\nload = 0.3\nrate = 80\nlate_p99_most_ms = 100000\n\
+                     [renderers]\ncount = 4\ncell_size = 1\n[agents]\ncount = 1\n[clients]\nretries = 0\n\
+                     [zones]\nnames = [\"a\"]\n";
+
+/// The small play at this load, with this fault.
+fn small(changes: &str) -> String {
+    match changes.strip_prefix("load = 1.5\n") {
+        Some(fault) => SMALL.replace("load = 0.3", "load = 1.5") + fault,
+        None => format!("{SMALL}{changes}"),
+    }
+}
+
+struct Played {
+    output: Output,
+    result: Value,
+    _folder: tempfile::TempDir,
+}
+
+fn play(agent: &Path, scenario: &str) -> Played {
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("small.toml");
+    std::fs::write(&file, scenario).expect("a file");
+    let arg = |path: &Path| path.to_str().expect("a path").to_owned();
+    let (file, out, agent) = (arg(&file), arg(&folder.path().join("out")), arg(agent));
+    let output = lab(&["run", &file, "--agent", &agent, "--out", &out, "--quiet"]).output().expect("it runs");
+    let result = std::fs::read(Path::new(&out).join("result.json")).ok();
+    let result = result.and_then(|r| serde_json::from_slice(&r).ok()).unwrap_or(Value::Null);
+    Played { output, result, _folder: folder }
+}
+
+/// The rules that a play found broken.
+fn broken(how: &str, changes: &str) -> (Vec<&'static str>, Played) {
+    let folder = tempfile::tempdir().expect("a folder");
+    let played = play(&wrong(folder.path(), how), &small(changes));
+    let rules = &played.result["rules"];
+    let broken = ["lost", "doubled", "drains", "cold"].into_iter().filter(|r| rules[*r].as_u64() != Some(0));
+    (broken.collect(), played)
+}
+
+const DRAIN: &str = "[[fault]]\nkind = \"drain\"\nat_s = 0.5\nlasts_s = 3\npart = 0.25\n";
+const CRASH: &str = "load = 1.5\n[[fault]]\nkind = \"crash\"\nat_s = 0.3\nlasts_s = 0.7\npart = 1.0\n";
+
+#[test]
+fn an_agent_that_does_as_it_should_breaks_no_rule() {
+    let _alone = alone();
+    let (rules, played) = broken("right", DRAIN);
+    assert!(rules.is_empty(), "{rules:?}: {}", text(&played.output.stderr));
+    assert_eq!(played.output.status.code(), Some(0));
+}
+
+#[test]
+fn each_wrong_agent_is_found_by_the_rule_that_it_breaks() {
+    let cases = [
+        ("answers-twice", "", "lost"),
+        ("never-answers", "", "lost"),
+        ("makes-up", "", "lost"),
+        ("repeats-unsafe", "", "doubled"),
+        ("invents", "", "doubled"),
+        ("ignores-drains", DRAIN, "drains"),
+        ("floods-cold", CRASH, "cold"),
+    ];
+    let _alone = alone();
+    std::thread::scope(|scope| {
+        for (how, changes, rule) in cases {
+            scope.spawn(move || {
+                let (rules, played) = broken(how, changes);
+                let said = text(&played.output.stderr);
+                assert_eq!(rules, [rule], "{how}: {said}");
+                assert_eq!(played.output.status.code(), Some(1), "{how}");
+                assert!(said.contains(&format!("rule {rule}: broken")), "{how}: {said}");
+            });
+        }
+    });
+}
+
+#[test]
+fn an_agent_that_crashes_or_does_not_start_is_named() {
+    let _alone = alone();
+    let (_, played) = broken("crashes", "");
+    assert_eq!(played.result["crashes"], 1);
+    assert_eq!(played.output.status.code(), Some(1));
+    let (_, played) = broken("does-not-start", "");
+    let said = text(&played.output.stderr);
+    assert_eq!(played.output.status.code(), Some(2));
+    assert!(
+        said.contains("n0 did not start") && said.contains("its last line: wrong_agent: it does not"),
+        "{said}"
+    );
+    assert_eq!(said.lines().count(), 1, "{said}");
+}
+
+#[test]
+fn the_quickstart_plays_the_real_agent_and_leaves_nothing_behind() {
+    let _alone = alone();
+    let folder = tempfile::tempdir().expect("a folder");
+    let out = folder.path().to_str().expect("a path");
+    let real = built("bellcroft");
+    let args = ["run", "quickstart", "--agent", real.to_str().expect("a path"), "--out", out];
+    // What a busy machine bends is not judged here: how soon answers come, and how late the lab is.
+    let lenient = ["--set", "late_p99_most_ms=100000", "--set", "expect.least.in_time=0.2"];
+    let output = lab(&[&args[..], &lenient[..]].concat()).output().expect("it runs");
+    assert_eq!(output.status.code(), Some(0), "{}", text(&output.stderr));
+    assert!(text(&output.stdout).contains("rules broken                 none"), "{}", text(&output.stdout));
+    let result: Value =
+        serde_json::from_slice(&std::fs::read(folder.path().join("result.json")).expect("a file"))
+            .expect("JSON");
+    for key in ["served_worth", "in_time", "refused", "failed", "cross_zone", "p99_ms", "late_p99_ms"] {
+        assert!(result[key].is_number(), "{key}");
+    }
+    assert!(result["agents"].as_array().is_some_and(|a| a.len() == 3));
+    assert!(result["windows"].as_array().is_some_and(|w| w.len() == 12));
+    assert!(result["rules"]["lost"].is_number() && result["try_ends"]["served"].as_u64() > Some(400));
+    let report = std::fs::read_to_string(folder.path().join("report.html")).expect("a report");
+    assert!(report.matches("<svg").count() == 4 && !report.contains("could not be drawn"));
+    assert!(!running(&real, out), "an agent was left behind");
+}
+
+/// Whether a process of this program runs whose files are in this folder.
+fn running(program: &Path, folder: &str) -> bool {
+    let processes = std::fs::read_dir("/proc").expect("processes").flatten();
+    processes.map(|p| p.path()).any(|process| {
+        std::fs::read_link(process.join("exe")).is_ok_and(|exe| exe == program)
+            && std::fs::read(process.join("environ")).is_ok_and(|e| text(&e).contains(folder))
+    })
+}
+
+#[test]
+fn a_play_that_is_broken_off_or_killed_leaves_no_process_and_the_first_its_report() {
+    let _alone = alone();
+    let real = built("bellcroft");
+    for signal in ["-INT", "-KILL"] {
+        let folder = tempfile::tempdir().expect("a folder");
+        let out = folder.path().to_str().expect("a path");
+        let args = ["run", "quickstart", "--agent", real.to_str().expect("a path"), "--out", out, "--quiet"];
+        let mut child = lab(&args).stderr(Stdio::null()).spawn().expect("it runs");
+        let deadline = Instant::now() + Duration::from_secs(60);
+        while !running(&real, out) {
+            assert!(Instant::now() < deadline, "no agent came up");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        std::thread::sleep(Duration::from_millis(1500));
+        let sent = Command::new("kill").args([signal, &child.id().to_string()]).status().expect("kill runs");
+        assert!(sent.success());
+        let status = child.wait().expect("a status");
+        if signal == "-INT" {
+            assert_eq!(status.code(), Some(130));
+            let report = std::fs::read_to_string(folder.path().join("report.html")).expect("a report");
+            assert!(report.contains("Broken off after") && report.contains("Ctrl-C"));
+        }
+        while running(&real, out) {
+            assert!(Instant::now() < deadline, "an agent was left behind after {signal}");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+}
+
+#[test]
+fn bad_input_is_one_line_and_exit_2() {
+    let cases: [(&[&str], &str); 4] = [
+        (&["run", "no-such"], "no-such: no file that can be read"),
+        (&["check", "quickstart", "--set", "load=much"], "load"),
+        (&["run", "quickstart", "--agent", "/no/such/agent"], "--agent /no/such/agent"),
+        (&["check", "quickstart", "--set", "agents.count=0"], "agents.count = 0: 1 to 300"),
+    ];
+    for (args, expected) in cases {
+        let output = lab(args).output().expect("it runs");
+        let said = text(&output.stderr);
+        assert_eq!(output.status.code(), Some(2), "{args:?}: {said}");
+        assert!(said.contains(expected) && said.lines().count() == 1, "{args:?}: {said}");
+    }
+}
