--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -4,6 +4,7 @@
 //! them. See `docs/proving-ground.md`.
 
 pub mod clock;
+pub mod compare;
 pub mod draw;
 pub mod link;
 pub mod oracle;
@@ -12,6 +13,8 @@
 pub mod renderer;
 pub mod report;
 pub mod result;
+pub mod saturate;
 pub mod scenario;
 pub mod stage;
+pub mod sweep;
 pub mod table;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -7,7 +7,7 @@
 use micasail_lab::play::{self, End, Stage, Tick};
 use micasail_lab::result::Played;
 use micasail_lab::scenario::{self, Scenario};
-use micasail_lab::table;
+use micasail_lab::{saturate, sweep, table};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -37,6 +37,15 @@
     Check(Check),
     /// Lists the scenarios that come with the lab
     List,
+    /// Plays a scenario over a grid of settings and seeds
+    Sweep(SweepArgs),
+    /// Pairs the plays of two sweeps by point and seed, and says how they differ
+    Compare(Compare),
+    /// Finds what an agent on one core bears and costs, beside a bare relay
+    Saturate(Saturate),
+    /// The bare relay
+    #[command(hide = true)]
+    Relay,
 }
 
 #[derive(Args)]
@@ -87,6 +96,45 @@
     plan: bool,
 }
 
+#[derive(Args)]
+struct SweepArgs {
+    /// A scenario of `lab list`, or a file
+    scenario: String,
+    /// The seeds of each point, as in 1..8 or 1,4,9
+    #[arg(long, default_value = "1..8")]
+    seeds: String,
+    /// Values for a key, as in `load=0.5,0.7`; several make a grid
+    #[arg(long = "set", value_name = "KEY=VALUE,...")]
+    sets: Vec<String>,
+    /// The agent's program; `bellcroft` beside this one if absent
+    #[arg(long, value_name = "PATH")]
+    agent: Option<PathBuf>,
+    /// Where the results go
+    #[arg(long, value_name = "FOLDER")]
+    out: PathBuf,
+    /// Plays side by side; as many as the cores allow if absent
+    #[arg(long)]
+    jobs: Option<usize>,
+}
+
+#[derive(Args)]
+struct Compare {
+    /// The folder of a sweep, or of one play
+    base: PathBuf,
+    /// The folder that is held against it
+    new: PathBuf,
+}
+
+#[derive(Args)]
+struct Saturate {
+    /// An agent's program, named more than once to compare builds; `bellcroft` beside this one if absent
+    #[arg(long, value_name = "PATH")]
+    agent: Vec<PathBuf>,
+    /// Writes the figures as JSON too
+    #[arg(long, value_name = "FILE")]
+    json: Option<PathBuf>,
+}
+
 fn pair(text: &str) -> Result<(String, String), String> {
     let (key, value) = text.split_once('=').ok_or("KEY=VALUE was expected")?;
     Ok((key.to_owned(), value.to_owned()))
@@ -102,6 +150,14 @@
             list();
             Ok(HELD)
         }
+        Command::Sweep(args) => sweep(&args),
+        Command::Compare(args) => compare(&args),
+        Command::Saturate(args) => saturate(&args),
+        Command::Relay => {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+            let ended = runtime.map_err(|e| e.to_string()).and_then(|r| r.block_on(saturate::relay()));
+            ended.map(|()| HELD)
+        }
     };
     match done {
         Ok(code) => ExitCode::from(code),
@@ -269,3 +325,61 @@
     stage.take_down().await;
     Ok(HELD)
 }
+
+fn sweep(args: &SweepArgs) -> Result<u8, String> {
+    let axes = args.sets.iter().map(|set| sweep::axis(set).map_err(|why| format!("--set {set}: {why}")));
+    let axes = axes.collect::<Result<Vec<_>, _>>()?;
+    let seeds = sweep::seeds(&args.seeds).map_err(|why| format!("--seeds {why}"))?;
+    let lab = std::env::current_exe().map_err(|e| format!("the lab does not find its own program: {e}"))?;
+    let agent = play::program(args.agent.as_deref())?;
+    let asked = sweep::Asked {
+        lab: &lab,
+        scenario: &args.scenario,
+        axes: &axes,
+        seeds: &seeds,
+        agent: &agent,
+        out: &args.out,
+        jobs: args.jobs,
+    };
+    let bar = ProgressBar::new(1);
+    let swept = asked.run(|ended, total| {
+        bar.set_length(total as u64);
+        bar.set_position(ended as u64);
+    });
+    bar.finish_and_clear();
+    print!("{}", sweep::table(&swept?));
+    Ok(HELD)
+}
+
+fn compare(args: &Compare) -> Result<u8, String> {
+    use micasail_lab::compare::{compare, Sweep};
+    print!("{}", compare(&Sweep::read(&args.base)?, &Sweep::read(&args.new)?)?);
+    Ok(HELD)
+}
+
+fn saturate(args: &Saturate) -> Result<u8, String> {
+    let agents = match args.agent.is_empty() {
+        true => vec![play::program(None)?],
+        false => args.agent.iter().map(|agent| play::program(Some(agent))).collect::<Result<_, _>>()?,
+    };
+    let lab = std::env::current_exe().map_err(|e| format!("the lab does not find its own program: {e}"))?;
+    let core = saturate::cores()?;
+    on_runtime(async {
+        let bar = ProgressBar::new_spinner();
+        let tell = |text: &str| {
+            bar.set_message(text.to_owned());
+            bar.tick();
+        };
+        let mut costs = vec![saturate::measure("a bare relay", &lab, &["relay"], core, tell).await?];
+        for agent in &agents {
+            costs.push(saturate::measure(&agent.display().to_string(), agent, &[], core, tell).await?);
+        }
+        bar.finish_and_clear();
+        print!("{}", saturate::table(&costs));
+        if let Some(file) = &args.json {
+            let text = serde_json::to_string_pretty(&costs).map_err(|e| e.to_string())?;
+            std::fs::write(file, text).map_err(|e| format!("{}: {e}", file.display()))?;
+        }
+        Ok(HELD)
+    })
+}
--- a/lab/src/stage/processes.rs
+++ b/lab/src/stage/processes.rs
@@ -407,7 +407,8 @@
     timeout(Duration::from_secs(1), asked).await.ok().flatten()
 }
 
-fn cpu_s(id: u32) -> Option<f64> {
+/// Processor time of a process so far, in seconds.
+pub fn cpu_s(id: u32) -> Option<f64> {
     let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
     // The name may hold blanks: what counts comes after it.
     let fields: Vec<&str> = stat.rsplit_once(") ")?.1.split(' ').collect();
@@ -415,7 +416,8 @@
     Some(ticks / TICKS)
 }
 
-fn memory_mb(id: u32) -> Option<f64> {
+/// Memory that a process holds, in MB.
+pub fn memory_mb(id: u32) -> Option<f64> {
     let pages = std::fs::read_to_string(format!("/proc/{id}/statm")).ok()?;
     Some(pages.split(' ').nth(1)?.parse::<f64>().ok()? * PAGE_KB / 1024.0)
 }
