Stand between agents as well, for datagrams and connections

Need: membership and shared state will act between agents, and faults have to strike there too. Change: agents are known by addresses that are the lab's, which tells a datagram by its source and hands it on as from the sender's own; cut (also one way), lost, late, doubled and reordered by jitter. `agents.peers = true` turns it on; `between = "agents"` on a fault. Measured: tests between plain sockets, one way cut while the other is open.

--- a/lab/src/link.rs
+++ b/lab/src/link.rs
@@ -27,6 +27,8 @@
     pub more_to_us: f64,
     /// What answers take longer.
     pub more_back_us: f64,
+    /// The share of datagrams that come twice.
+    pub doubled: f64,
 }
 
 impl State {
@@ -38,6 +40,7 @@
         loss_back: 0.0,
         more_to_us: 0.0,
         more_back_us: 0.0,
+        doubled: 0.0,
     };
 
     /// No connection comes up: it takes both ways.
@@ -62,35 +65,44 @@
     state: watch::Sender<State>,
 }
 
-/// All links.
+/// All links from some parties to others.
 pub struct Links {
     links: Vec<Link>,
-    renderers: usize,
+    receivers: usize,
 }
 
 impl Links {
-    /// As the plan lays them.
+    /// As the plan lays them from its agents to its renderers.
     pub fn new(plan: &Plan) -> Self {
-        let mut links = Vec::with_capacity(plan.agents.len() * plan.renderers.len());
-        for agent in &plan.agents {
-            for renderer in &plan.renderers {
-                links.push(Link {
-                    way_us: plan.ways_us[agent.zone][renderer.zone],
-                    jitter: plan.jitter,
-                    state: watch::Sender::new(State::GOOD),
-                });
-            }
-        }
-        Links { links, renderers: plan.renderers.len() }
+        let agents: Vec<usize> = plan.agents.iter().map(|agent| agent.zone).collect();
+        let renderers: Vec<usize> = plan.renderers.iter().map(|renderer| renderer.zone).collect();
+        Self::between(plan, &agents, &renderers)
+    }
+
+    /// Between parties in these zones.
+    pub fn between(plan: &Plan, senders: &[usize], receivers: &[usize]) -> Self {
+        let pairs = senders.iter().flat_map(|from| receivers.iter().map(move |to| (*from, *to)));
+        let links = pairs.map(|(from, to)| Link::new(plan.ways_us[from][to], plan.jitter)).collect();
+        Links { links, receivers: receivers.len() }
+    }
+
+    /// Between so many parties, each as far from each.
+    pub fn alike(parties: usize, way_us: f64) -> Self {
+        let links = (0..parties * parties).map(|_| Link::new(way_us, 0.0)).collect();
+        Links { links, receivers: parties }
     }
 
     /// A pair's link.
-    pub fn of(&self, agent: usize, renderer: usize) -> &Link {
-        &self.links[agent * self.renderers + renderer]
+    pub fn of(&self, from: usize, to: usize) -> &Link {
+        &self.links[from * self.receivers + to]
     }
 }
 
 impl Link {
+    fn new(way_us: f64, jitter: f64) -> Self {
+        Link { way_us, jitter, state: watch::Sender::new(State::GOOD) }
+    }
+
     /// How the link is now.
     pub fn state(&self) -> State {
         *self.state.borrow()
@@ -106,15 +118,25 @@
         self.state.subscribe()
     }
 
-    /// How long a message takes if nothing is lost or cut.
-    pub fn takes(&self, toward: Toward, draw: &mut Seed) -> Duration {
+    /// How long a message takes that is neither lost nor cut off.
+    pub fn once(&self, toward: Toward, draw: &mut Seed) -> Duration {
         let state = self.state();
-        let (more, loss) = match toward {
-            Toward::Renderer => (state.more_to_us, state.loss_to),
-            Toward::Agent => (state.more_back_us, state.loss_back),
+        let more = match toward {
+            Toward::Renderer => state.more_to_us,
+            Toward::Agent => state.more_back_us,
         };
         let way = self.way_us * (1.0 + self.jitter * (draw.unit() - 0.5)) + more;
-        let mut takes = Duration::from_micros(way as Micros);
+        Duration::from_micros(way as Micros)
+    }
+
+    /// How long a message takes that is sent again where it is lost, while nothing is cut.
+    pub fn takes(&self, toward: Toward, draw: &mut Seed) -> Duration {
+        let state = self.state();
+        let loss = match toward {
+            Toward::Renderer => state.loss_to,
+            Toward::Agent => state.loss_back,
+        };
+        let mut takes = self.once(toward, draw);
         let mut again = RESEND;
         // TCP doubles its wait each time; six losses in a row are a cut.
         for _ in 0..6 {
@@ -148,7 +170,7 @@
     use super::*;
 
     fn link() -> Link {
-        Link { way_us: 12_000.0, jitter: 0.0, state: watch::Sender::new(State::GOOD) }
+        Link::new(12_000.0, 0.0)
     }
 
     #[test]
--- a/lab/src/plan.rs
+++ b/lab/src/plan.rs
@@ -2,7 +2,7 @@
 
 use crate::draw::Seed;
 use crate::renderer::{Choke, FallRule, Micros, Spec};
-use crate::scenario::{Effect, Kin, Scenario, Traffic, Way};
+use crate::scenario::{Between, Effect, Kin, Scenario, Traffic, Way};
 use serde::Serialize;
 
 /// The whole play.
@@ -44,6 +44,8 @@
     pub sockets: usize,
     /// Memory of an agent.
     pub memory_mb: u32,
+    /// The lab stands between agents as well.
+    pub peers: bool,
     /// What clients do.
     pub clients: Clients,
     /// What goes wrong, by its start.
@@ -137,6 +139,8 @@
     pub every_us: Micros,
     /// Which way of the links.
     pub way: Way,
+    /// Between whom.
+    pub between: Between,
     /// From its beginning to the list, where the list tells of it.
     pub notice_us: Micros,
     /// From its end to the list.
@@ -311,6 +315,7 @@
         agents,
         sockets: scenario.agents.sockets,
         memory_mb: scenario.agents.memory_mb,
+        peers: scenario.agents.peers,
         clients,
         faults: Vec::new(),
         arrivals,
@@ -419,6 +424,10 @@
                 size: def.size.map_or(0.0, |range| range.draw(&mut draw)),
                 every_us: def.every_s.map_or(0, |range| seconds(range.draw(&mut draw))),
                 way: def.way.unwrap_or_default(),
+                between: match def.kind {
+                    Kin::Doubles => Between::Agents,
+                    _ => def.between.unwrap_or_default(),
+                },
                 notice_us: seconds(notice.draw(&mut draw)),
                 add_us: seconds(scenario.discovery.add_s.draw(&mut draw)),
             }
@@ -448,7 +457,7 @@
             .bytes()
             .fold(0xcbf2_9ce4_8422_2325_u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3));
         assert_eq!(
-            drawn, 8386223221288296567,
+            drawn, 9392820468231731497,
             "the plan of `crashes`, seed 5, has changed: if that was meant, so is this figure"
         );
     }
--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -8,6 +8,7 @@
 use crate::stage::directory::Directory;
 use crate::stage::faults::Faults;
 use crate::stage::machine::{Machine, Presence};
+use crate::stage::peers::Peers;
 use crate::stage::processes::{own_cpu_s, Agents, Used};
 use crate::stage::{gate, World};
 use std::path::{Path, PathBuf};
@@ -60,6 +61,12 @@
             tasks.push(tokio::spawn(Directory::serve(world.clone(), agent, false)));
             tasks.push(tokio::spawn(Directory::serve(world.clone(), agent, true)));
         }
+        if plan.peers {
+            let (peers, relaying) = Peers::start(&world).await?;
+            tasks.extend(relaying);
+            // It is set here alone.
+            let _ = world.peers.set(peers);
+        }
         let stage = Stage { world, agents, tasks };
         match stage.start_agents().await {
             Ok(()) => Ok(stage),
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -233,6 +233,9 @@
     /// Memory of each.
     #[serde(default = "memory")]
     pub memory_mb: u32,
+    /// The lab stands between them as well, for programs that talk to each other.
+    #[serde(default)]
+    pub peers: bool,
 }
 
 fn sockets() -> usize {
@@ -376,7 +379,7 @@
 pub enum Kin {
     /// Renderers die, and come back cold.
     Crash,
-    /// Renderers stand still for `size_ms` every `every_s`.
+    /// Renderers stand still for `size` milliseconds every `every_s`.
     Pauses,
     /// Renderers are `size` times slower.
     Slow,
@@ -396,8 +399,10 @@
     Cut,
     /// A share `size` of messages is lost and sent again.
     Loss,
-    /// Messages take `size_ms` longer.
+    /// Messages take `size` milliseconds longer.
     Delay,
+    /// A share `size` of the datagrams between agents comes twice.
+    Doubles,
     /// Discovery runs `size` seconds behind.
     DiscoveryStale,
     /// Discovery says nothing.
@@ -424,6 +429,7 @@
     size: Option<(&'static str, f64, f64)>,
     every: bool,
     way: bool,
+    between: bool,
     lasts: bool,
 }
 
@@ -436,11 +442,12 @@
             size: None,
             every: false,
             way: false,
+            between: false,
             lasts: true,
         };
         let renderers = Takes { renderers: true, zone: true, ..none };
         let agents = Takes { agents: true, ..none };
-        let links = Takes { renderers: true, agents: true, zone: true, way: true, ..none };
+        let links = Takes { renderers: true, agents: true, zone: true, way: true, between: true, ..none };
         match self {
             Kin::Crash | Kin::Drain | Kin::Cordon => renderers,
             Kin::Pauses => Takes { size: Some(("milliseconds", 1.0, 60_000.0)), every: true, ..renderers },
@@ -449,6 +456,7 @@
             Kin::ZoneSilent | Kin::ZoneCut => Takes { zone: true, ..none },
             Kin::Cut => links,
             Kin::Loss => Takes { size: Some(("a share", 0.0, 0.9)), ..links },
+            Kin::Doubles => Takes { size: Some(("a share", 0.0, 1.0)), way: true, ..agents },
             Kin::Delay => Takes { size: Some(("milliseconds", 0.0, 10_000.0)), ..links },
             Kin::DiscoveryStale => Takes { size: Some(("seconds", 0.0, 600.0)), ..agents },
             Kin::DiscoverySilent | Kin::DiscoveryDown | Kin::AgentKill | Kin::AgentStop => agents,
@@ -485,6 +493,17 @@
     Back,
 }
 
+/// Between whom links are struck.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Between {
+    /// Agents and renderers.
+    #[default]
+    Renderers,
+    /// Agents and other agents.
+    Agents,
+}
+
 /// A fault as a scenario words it.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -505,8 +524,10 @@
     pub size: Option<Range>,
     /// How often it strikes.
     pub every_s: Option<Range>,
-    /// Which way of the links.
+    /// Which way of the links: seen from the struck agents, `to` is what they send and `back` what they hear.
     pub way: Option<Way>,
+    /// Between whom.
+    pub between: Option<Between>,
 }
 
 /// What has to hold for a play to pass.
@@ -738,6 +759,15 @@
         only("size", self.size.is_some(), takes.size.is_some())?;
         only("every_s", self.every_s.is_some(), takes.every)?;
         only("way", self.way.is_some(), takes.way)?;
+        only("between", self.between.is_some(), takes.between)?;
+        let peers = self.between == Some(Between::Agents) || self.kind == Kin::Doubles;
+        if peers && !scenario.agents.peers {
+            return Err(
+                "between agents: agents.peers = true was expected, or the lab does not stand there".into()
+            );
+        }
+        only("part", peers && self.part.is_some(), false)?;
+        only("zone", peers && self.zone.is_some(), false)?;
         only("lasts_s", self.lasts_s.is_some(), takes.lasts)?;
         within("at_s", Some(&self.at_s), 0.0, scenario.seconds)?;
         within("part", self.part.as_ref(), 0.0, 1.0)?;
--- a/lab/src/stage/faults.rs
+++ b/lab/src/stage/faults.rs
@@ -7,7 +7,7 @@
 use crate::link::State;
 use crate::plan::Fault;
 use crate::renderer::Micros;
-use crate::scenario::{Kin, Way};
+use crate::scenario::{Between, Kin, Way};
 use rustix::process::Signal;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -73,7 +73,7 @@
             }
             Kin::Drain => self.drain(&fault).await,
             Kin::Cordon => self.cordon(&fault).await,
-            Kin::ZoneCut | Kin::Cut | Kin::Loss | Kin::Delay => {
+            Kin::ZoneCut | Kin::Cut | Kin::Loss | Kin::Delay | Kin::Doubles => {
                 self.lay(|on| on.push(place));
                 self.until(fault.end_us).await;
                 self.lay(|on| on.retain(|other| *other != place));
@@ -232,6 +232,16 @@
                 self.world.links.of(agent, renderer).set(state);
             }
         }
+        let Some(peers) = self.world.peers.get() else { return };
+        for from in 0..plan.agents.len() {
+            for to in 0..plan.agents.len() {
+                let mut state = State::GOOD;
+                for fault in on.iter().map(|place| &plan.faults[*place]) {
+                    strike_peers(&mut state, fault, plan, from, to);
+                }
+                peers.links().of(from, to).set(state);
+            }
+        }
     }
 
     async fn process(&self, fault: &Fault, agent: usize) {
@@ -287,7 +297,10 @@
         state.cut_back |= cut;
         return;
     }
-    if !fault.agents.contains(&agent) || !fault.renderers.contains(&renderer) {
+    if fault.between != Between::Renderers
+        || !fault.agents.contains(&agent)
+        || !fault.renderers.contains(&renderer)
+    {
         return;
     }
     let (to, back) = (fault.way != Way::Back, fault.way != Way::To);
@@ -308,3 +321,69 @@
         _ => {}
     }
 }
+
+/// What a fault does to the way from one agent to another.
+fn strike_peers(state: &mut State, fault: &Fault, plan: &crate::plan::Plan, from: usize, to: usize) {
+    if fault.kind == Kin::ZoneCut {
+        let inside = |agent: usize| Some(plan.agents[agent].zone) == fault.zone;
+        state.cut_to |= inside(from) != inside(to);
+        return;
+    }
+    let sends = fault.agents.contains(&from) && fault.way != Way::Back;
+    let hears = fault.agents.contains(&to) && fault.way != Way::To;
+    if fault.between != Between::Agents || !(sends || hears) {
+        return;
+    }
+    match fault.kind {
+        Kin::Cut => state.cut_to = true,
+        Kin::Loss => state.loss_to = state.loss_to.max(fault.size),
+        Kin::Delay => state.more_to_us += fault.size * 1e3,
+        Kin::Doubles => state.doubled = state.doubled.max(fault.size),
+        _ => {}
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::{plan, scenario};
+
+    const LEAST: &str =
+        "about = \"x\"\nseconds = 5\n[zones]\nnames = [\"a\", \"b\"]\n[renderers]\ncount = 4\n\
+                         [agents]\ncount = 4\npeers = true\n[[fault]]\nat_s = 1\nlasts_s = 1\n";
+
+    fn planned(fault: &str) -> plan::Plan {
+        let scenario = scenario::read("f", &format!("{LEAST}{fault}"), &[]).expect("good");
+        plan::plan("f", &scenario, 1)
+    }
+
+    /// Pairs from which nothing comes, of agents and renderers and of agents.
+    fn cut(plan: &plan::Plan) -> [Vec<(usize, usize)>; 2] {
+        let (mut far, mut near) = (Vec::new(), Vec::new());
+        for a in 0..4 {
+            for b in 0..4 {
+                let (mut state, mut peers) = (State::GOOD, State::GOOD);
+                strike(&mut state, &plan.faults[0], plan, a, b);
+                strike_peers(&mut peers, &plan.faults[0], plan, a, b);
+                far.extend((state.cut_to || state.cut_back).then_some((a, b)));
+                near.extend(peers.cut_to.then_some((a, b)));
+            }
+        }
+        [far, near]
+    }
+
+    #[test]
+    fn a_zone_that_is_cut_off_keeps_what_is_inside_and_loses_all_that_crosses() {
+        let plan = planned("kind = \"zone_cut\"\nzone = \"a\"");
+        let crossing: Vec<_> =
+            (0..4).flat_map(|a| (0..4).map(move |b| (a, b))).filter(|(a, b)| a % 2 != b % 2).collect();
+        assert_eq!(cut(&plan), [crossing.clone(), crossing]);
+    }
+
+    #[test]
+    fn a_one_way_cut_between_agents_strikes_what_they_send_and_no_renderer() {
+        let plan = planned("kind = \"cut\"\nbetween = \"agents\"\nway = \"to\"\nagents = 0.25");
+        let struck = plan.faults[0].agents[0];
+        assert_eq!(cut(&plan), [Vec::new(), (0..4).map(|to| (struck, to)).collect()]);
+    }
+}
--- a/lab/src/stage/mod.rs
+++ b/lab/src/stage/mod.rs
@@ -5,6 +5,7 @@
 pub mod faults;
 pub mod gate;
 pub mod machine;
+pub mod peers;
 pub mod processes;
 
 use crate::clock::Clock;
@@ -13,14 +14,16 @@
 use crate::plan::Plan;
 use directory::Directory;
 use machine::Machine;
+use peers::Peers;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use tokio::sync::watch;
 
 /// Where clients of an agent connect, and its other ports.
 const CLIENTS: u16 = 8443;
 const OPERATOR: u16 = 19_000;
 const DISCOVERY: u16 = 21_000;
+const PEERS: u16 = 7946;
 const RENDERERS: u16 = 20_000;
 /// Held by the play that owns a block of addresses.
 const CLAIM: u16 = 19_999;
@@ -70,6 +73,15 @@
         self.at(if moved { 30 } else { 20 }, agent, DISCOVERY)
     }
 
+    /// How an agent is known to the others, or where it listens for them itself.
+    pub fn peer(&self, agent: usize, own: bool) -> SocketAddr {
+        if own {
+            self.at(40, agent, PEERS)
+        } else {
+            self.at(10, agent, PEERS)
+        }
+    }
+
     /// Where a renderer listens for an agent.
     pub fn renderer(&self, renderer: usize, agent: usize) -> SocketAddr {
         self.at(100, renderer, RENDERERS + agent as u16)
@@ -90,6 +102,8 @@
     pub machines: Vec<Machine>,
     /// Discovery.
     pub directory: Directory,
+    /// The ways between agents, where the lab stands there.
+    pub peers: OnceLock<Arc<Peers>>,
     ledger: Mutex<Ledger>,
     /// Something broke the play off: why.
     pub stop: watch::Sender<Option<String>>,
@@ -104,6 +118,7 @@
             links: Links::new(&plan),
             machines: plan.renderers.iter().map(|r| Machine::new(r.spec.clone(), plan.fall)).collect(),
             directory: Directory::new(&plan),
+            peers: OnceLock::new(),
             ledger: Mutex::new(Ledger::new(plan.clone())),
             stop: watch::Sender::new(None),
             plan,
--- /dev/null
+++ b/lab/src/stage/peers.rs
@@ -0,0 +1,254 @@
+//! The ways between agents: a relay for each directed pair, for datagrams and for connections.
+//!
+//! Agents name each other by addresses that are the same for all, so no address can tell a stand-in who calls, as it does
+//! at the renderers. An agent listens on an address that only the lab knows, and is known to the others by another one,
+//! which is the lab's: what comes there is told by its source, carried over the pair's link, and handed on as from the
+//! sender's known address.
+
+use super::World;
+use crate::draw::Seed;
+use crate::link::{Links, Toward};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
+use tokio::sync::Semaphore;
+use tokio::task::JoinHandle;
+
+/// The longest datagram that is carried.
+const DATAGRAM_MOST: usize = 2048;
+/// Datagrams under way at a time; a network drops what is more.
+const UNDER_WAY: usize = 20_000;
+/// Bytes of a connection that travel together.
+const PIECE: usize = 16 << 10;
+
+/// What has been carried.
+#[derive(Debug, Default)]
+pub struct Carried {
+    /// Datagrams that came.
+    pub datagrams: AtomicU64,
+    /// Their bytes.
+    pub bytes: AtomicU64,
+    /// Datagrams that were lost, cut off, or too many.
+    pub dropped: AtomicU64,
+}
+
+/// The relays.
+pub struct Peers {
+    links: Links,
+    known: Vec<SocketAddr>,
+    own: Vec<SocketAddr>,
+    sockets: Vec<UdpSocket>,
+    under_way: Arc<Semaphore>,
+    draw: Mutex<Seed>,
+    /// What has been carried.
+    pub carried: Carried,
+}
+
+impl Peers {
+    /// Stands at the agents' known addresses; what agents bind are their own.
+    pub async fn start(world: &World) -> Result<(Arc<Self>, Vec<JoinHandle<()>>), String> {
+        let agents = world.plan.agents.len();
+        let known: Vec<_> = (0..agents).map(|agent| world.addresses.peer(agent, false)).collect();
+        let own: Vec<_> = (0..agents).map(|agent| world.addresses.peer(agent, true)).collect();
+        let zones: Vec<usize> = world.plan.agents.iter().map(|agent| agent.zone).collect();
+        let links = Links::between(&world.plan, &zones, &zones);
+        Self::at(links, known, own, Seed(world.plan.seed).fork(0x9ee5)).await
+    }
+
+    async fn at(
+        links: Links,
+        known: Vec<SocketAddr>,
+        own: Vec<SocketAddr>,
+        draw: Seed,
+    ) -> Result<(Arc<Self>, Vec<JoinHandle<()>>), String> {
+        let mut sockets = Vec::new();
+        let mut listeners = Vec::new();
+        for address in &known {
+            let why = |e: io::Error| format!("the lab cannot listen on {address}: {e}");
+            sockets.push(UdpSocket::bind(address).await.map_err(why)?);
+            listeners.push(TcpListener::bind(address).await.map_err(why)?);
+        }
+        let under_way = Arc::new(Semaphore::new(UNDER_WAY));
+        let draw = Mutex::new(draw);
+        let peers =
+            Arc::new(Peers { links, known, own, sockets, under_way, draw, carried: Carried::default() });
+        let mut tasks = Vec::new();
+        for (to, listener) in listeners.into_iter().enumerate() {
+            tasks.push(tokio::spawn(peers.clone().datagrams(to)));
+            tasks.push(tokio::spawn(peers.clone().connections(to, listener)));
+        }
+        Ok((peers, tasks))
+    }
+
+    /// The links, by sender and receiver; [`Toward::Renderer`] is the way from the first to the second.
+    pub fn links(&self) -> &Links {
+        &self.links
+    }
+
+    fn draw(&self) -> Seed {
+        let mut draw = self.draw.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        Seed(draw.bits())
+    }
+
+    /// Carries what comes to an agent's known address; never ends.
+    async fn datagrams(self: Arc<Self>, to: usize) {
+        let mut bytes = [0; DATAGRAM_MOST];
+        loop {
+            // An error tells of an earlier datagram that nobody took.
+            let Ok((n, source)) = self.sockets[to].recv_from(&mut bytes).await else { continue };
+            self.carried.datagrams.fetch_add(1, Ordering::Relaxed);
+            self.carried.bytes.fetch_add(n as u64, Ordering::Relaxed);
+            let from = self.own.iter().position(|own| *own == source);
+            let room = self.under_way.clone().try_acquire_owned();
+            let (Some(from), Ok(room)) = (from, room) else {
+                self.carried.dropped.fetch_add(1, Ordering::Relaxed);
+                continue;
+            };
+            let mut draw = self.draw();
+            let state = self.links.of(from, to).state();
+            if state.cut_to || draw.unit() < state.loss_to {
+                self.carried.dropped.fetch_add(1, Ordering::Relaxed);
+                continue;
+            }
+            let copies = 1 + usize::from(draw.unit() < state.doubled);
+            let datagram = bytes[..n].to_vec();
+            let peers = self.clone();
+            tokio::spawn(async move {
+                let _room = room;
+                for _ in 0..copies {
+                    crate::clock::sleep(peers.links.of(from, to).once(Toward::Renderer, &mut draw)).await;
+                    // Nobody may listen there: then it is lost, as on any network.
+                    let _ = peers.sockets[from].send_to(&datagram, peers.own[to]).await;
+                }
+            });
+        }
+    }
+
+    /// Carries connections that come to an agent's known address; never ends. One from an address that is no agent's is
+    /// closed.
+    async fn connections(self: Arc<Self>, to: usize, listener: TcpListener) {
+        loop {
+            let Ok((stream, source)) = listener.accept().await else { continue };
+            if let Some(from) = self.own.iter().position(|own| own.ip() == source.ip()) {
+                let peers = self.clone();
+                tokio::spawn(async move {
+                    // Its end is the end of both sides, whatever the cause.
+                    let _ = peers.connection(from, to, stream).await;
+                });
+            }
+        }
+    }
+
+    async fn connection(&self, from: usize, to: usize, near: TcpStream) -> io::Result<()> {
+        let mut draw = self.draw();
+        self.links.of(from, to).carry(Toward::Renderer, &mut draw).await;
+        let socket = TcpSocket::new_v4()?;
+        socket.bind(SocketAddr::new(self.known[from].ip(), 0))?;
+        let far = socket.connect(self.own[to]).await?;
+        let (mut near_read, mut near_write) = near.into_split();
+        let (mut far_read, mut far_write) = far.into_split();
+        let there = self.pieces(from, to, &mut near_read, &mut far_write);
+        let back = self.pieces(to, from, &mut far_read, &mut near_write);
+        let (there, back) = tokio::join!(there, back);
+        there.and(back)
+    }
+
+    async fn pieces(
+        &self,
+        from: usize,
+        to: usize,
+        read: &mut (impl AsyncReadExt + Unpin),
+        write: &mut (impl AsyncWriteExt + Unpin),
+    ) -> io::Result<()> {
+        let mut draw = self.draw();
+        let mut piece = vec![0; PIECE];
+        loop {
+            let n = read.read(&mut piece).await?;
+            self.links.of(from, to).carry(Toward::Renderer, &mut draw).await;
+            if n == 0 {
+                return write.shutdown().await;
+            }
+            write.write_all(&piece[..n]).await?;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::link::State;
+    use std::time::Duration;
+    use tokio::time::timeout;
+
+    /// Two agents that the lab stands between: their own addresses, and how they are known.
+    async fn two() -> (Arc<Peers>, [UdpSocket; 2]) {
+        let bind = || UdpSocket::bind("127.0.0.1:0");
+        let agents = [bind().await.expect("a port"), bind().await.expect("a port")];
+        let own: Vec<_> = agents.iter().map(|a| a.local_addr().expect("an address")).collect();
+        // Free a moment ago, on an address that nothing else here uses.
+        let free = || std::net::UdpSocket::bind("127.0.0.9:0").and_then(|s| s.local_addr()).expect("a port");
+        let links = Links::alike(2, 1000.0);
+        let (peers, _) = Peers::at(links, vec![free(), free()], own, Seed(5)).await.expect("it stands");
+        (peers, agents)
+    }
+
+    async fn hears(agent: &UdpSocket) -> Option<(Vec<u8>, SocketAddr)> {
+        let mut bytes = [0; 100];
+        let heard = timeout(Duration::from_millis(400), agent.recv_from(&mut bytes)).await;
+        heard.ok().and_then(Result::ok).map(|(n, from)| (bytes[..n].to_vec(), from))
+    }
+
+    #[tokio::test]
+    async fn datagrams_come_as_from_the_sender_and_can_be_cut_one_way_lost_and_doubled() {
+        let (peers, [a, b]) = two().await;
+        a.send_to(b"one", peers.known[1]).await.expect("sent");
+        assert_eq!(hears(&b).await, Some((b"one".to_vec(), peers.known[0])));
+        b.send_to(b"two", peers.known[0]).await.expect("sent");
+        assert_eq!(hears(&a).await, Some((b"two".to_vec(), peers.known[1])));
+
+        peers.links().of(0, 1).set(State { cut_to: true, ..State::GOOD });
+        a.send_to(b"three", peers.known[1]).await.expect("sent");
+        assert_eq!(hears(&b).await, None);
+        b.send_to(b"four", peers.known[0]).await.expect("sent");
+        assert_eq!(hears(&a).await.map(|h| h.0), Some(b"four".to_vec()), "the other way is open");
+
+        peers.links().of(0, 1).set(State { doubled: 1.0, ..State::GOOD });
+        a.send_to(b"five", peers.known[1]).await.expect("sent");
+        assert!(hears(&b).await.is_some() && hears(&b).await.is_some() && hears(&b).await.is_none());
+
+        peers.links().of(0, 1).set(State { loss_to: 1.0, ..State::GOOD });
+        a.send_to(b"six", peers.known[1]).await.expect("sent");
+        assert_eq!(hears(&b).await, None);
+        // One whom nobody knows is not passed on.
+        let stranger = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+        stranger.send_to(b"seven", peers.known[0]).await.expect("sent");
+        assert_eq!(hears(&a).await, None);
+        assert_eq!(peers.carried.dropped.load(Ordering::Relaxed), 3);
+    }
+
+    #[tokio::test]
+    async fn connections_pass_and_fall_silent_while_they_are_cut() {
+        let (peers, _agents) = two().await;
+        let listener =
+            TcpListener::bind(peers.own[1]).await.expect("the datagrams' port is another's for streams");
+        let mut near = TcpStream::connect(peers.known[1]).await.expect("a connection");
+        let (mut far, _) =
+            timeout(Duration::from_secs(5), listener.accept()).await.expect("soon").expect("a peer");
+        near.write_all(b"ping").await.expect("sent");
+        let mut bytes = [0; 4];
+        timeout(Duration::from_secs(5), far.read_exact(&mut bytes)).await.expect("soon").expect("bytes");
+        assert_eq!(&bytes, b"ping");
+        // All agents here have one address, so that the relay takes each for the first: both ways are its own.
+        let link = peers.links().of(0, 1);
+        link.set(State { cut_to: true, ..State::GOOD });
+        near.write_all(b"held").await.expect("sent");
+        let held = timeout(Duration::from_millis(300), far.read_exact(&mut bytes)).await;
+        assert!(held.is_err(), "it came through a cut");
+        link.set(State::GOOD);
+        timeout(Duration::from_secs(5), far.read_exact(&mut bytes)).await.expect("soon").expect("bytes");
+        assert_eq!(&bytes, b"held");
+    }
+}
