--- a/lab/src/sweep.rs
+++ b/lab/src/sweep.rs
@@ -124,10 +124,15 @@
         let has = std::thread::available_parallelism().map_or(1, usize::from);
         let side_by_side = self.jobs.unwrap_or((has as f64 / cores) as usize).max(1);
         let mut jobs = VecDeque::new();
-        // Seed by seed and agent by agent, so that a machine whose speed drifts does so under all alike.
-        for seed in self.seeds {
+        // Seed by seed and agent by agent, so that a machine whose speed drifts does so under all alike; and every second
+        // time the other way round, as one that is always the later of two costs 2% more CPU (measured).
+        for (turn, seed) in self.seeds.iter().enumerate() {
             for point in &points {
-                for (place, agent) in self.agents.iter().enumerate() {
+                let mut agents: Vec<_> = self.agents.iter().enumerate().collect();
+                if turn % 2 == 1 {
+                    agents.reverse();
+                }
+                for (place, agent) in agents {
                     let folder = self.folder(place).join(name(point)).join(format!("seed-{seed}"));
                     jobs.push_back(Job { agent: agent.clone(), point: point.clone(), seed: *seed, folder });
                 }
