Test that a world held open answers the request it prints

lab up had been tried by hand alone. The test reads the printed request, sends it three times to the real agent, and ends the world by SIGINT with exit 0.

--- a/lab/tests/plays.rs
+++ b/lab/tests/plays.rs
@@ -217,3 +217,32 @@
         assert!(said.contains(expected) && said.lines().count() == 1, "{args:?}: {said}");
     }
 }
+
+#[test]
+fn a_world_that_is_held_open_answers_the_request_that_it_prints() {
+    use std::io::{BufRead, BufReader, Read, Write};
+    let _alone = alone();
+    let real = built("bellcroft");
+    let args = ["up", "quickstart", "--agent", real.to_str().expect("a path"), "--seconds", "60"];
+    let mut child = lab(&args).stdout(Stdio::piped()).spawn().expect("it runs");
+    let mut lines = BufReader::new(child.stdout.take().expect("its output")).lines();
+    let line = lines.by_ref().map_while(Result::ok).find(|line| line.starts_with("try: curl"));
+    let line = line.expect("a request to try");
+    let (command, url) = line.rsplit_once("http://").expect("an address");
+    let (address, path) = url.split_once('/').expect("a path");
+    let headers: Vec<&str> = command.split('\'').skip(1).step_by(2).collect();
+    for _ in 0..3 {
+        let mut stream = std::net::TcpStream::connect(address).expect("the agent listens");
+        let request = format!(
+            "GET /{path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n{}\r\n\r\n",
+            headers.join("\r\n")
+        );
+        stream.write_all(request.as_bytes()).expect("it reads");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).expect("an answer");
+        assert!(answer.starts_with("HTTP/1.1 200") && answer.contains(" r-"), "{answer}");
+    }
+    let sent = Command::new("kill").args(["-INT", &child.id().to_string()]).status().expect("kill runs");
+    assert!(sent.success());
+    assert_eq!(child.wait().expect("a status").code(), Some(0));
+}
