--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -233,6 +233,18 @@
     "a panic in the lab".into()
 }
 
+/// What no input brings about is brought about by the tests of a debug build: a panic in one of the lab's tasks.
+#[cfg(debug_assertions)]
+fn panic_if_asked() {
+    let after = std::env::var("LAB_PANIC_AFTER_MS").ok().and_then(|ms| ms.parse().ok());
+    if let Some(ms) = after {
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(ms)).await;
+            panic!("asked for by LAB_PANIC_AFTER_MS");
+        });
+    }
+}
+
 async fn stopped() -> String {
     tokio::select! {
         why = told_to_end() => why,
@@ -270,6 +282,8 @@
             at_s.min(total)
         ));
     };
+    #[cfg(debug_assertions)]
+    panic_if_asked();
     let played = play::play(plan.clone(), &program, &logs, stopped(), tell).await;
     bar.finish_and_clear();
     let End { played, breaches, broken_off } = played?;
--- a/lab/tests/plays.rs
+++ b/lab/tests/plays.rs
@@ -202,6 +202,35 @@
     }
 }
 
+#[test]
+fn a_panic_in_the_lab_breaks_the_play_off_with_its_report_and_leaves_no_process() {
+    let _alone = alone();
+    let real = built("bellcroft");
+    let folder = tempfile::tempdir().expect("a folder");
+    let out = folder.path().to_str().expect("a path");
+    let args = ["run", "quickstart", "--agent", real.to_str().expect("a path"), "--out", out, "--quiet"];
+    let output = lab(&args).env("LAB_PANIC_AFTER_MS", "4000").output().expect("it runs");
+    assert_eq!(output.status.code(), Some(130), "{}", text(&output.stderr));
+    assert!(text(&output.stderr).contains("a panic in the lab"), "{}", text(&output.stderr));
+    assert!(folder.path().join("report.html").is_file() && !running(&real, out));
+}
+
+#[test]
+fn a_play_says_what_fell_short_and_gives_no_verdict_where_the_lab_was_late() {
+    let _alone = alone();
+    let folder = tempfile::tempdir().expect("a folder");
+    let agent = wrong(folder.path(), "right");
+    let short = SMALL.replace("seconds = 4", "seconds = 1");
+    let played = play(&agent, &format!("{short}[expect.least]\nin_time = 1.5\n"));
+    let said = text(&played.output.stderr);
+    assert_eq!(played.output.status.code(), Some(1), "{said}");
+    assert!(said.contains("in_time = ") && said.contains("at least 1.5 was expected"), "{said}");
+    let played = play(&agent, &short.replace("late_p99_most_ms = 100000", "late_p99_most_ms = 0"));
+    let said = text(&played.output.stderr);
+    assert_eq!(played.output.status.code(), Some(3), "{said}");
+    assert!(said.contains("no verdict: the lab itself ran late"), "{said}");
+}
+
 #[test]
 fn bad_input_is_one_line_and_exit_2() {
     let cases: [(&[&str], &str); 4] = [
