--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -140,6 +140,12 @@
     Ok((key.to_owned(), value.to_owned()))
 }
 
+/// Writes to standard output; whoever reads it may have heard enough and left, which is no reason to panic.
+fn say(text: &str) {
+    use std::io::Write;
+    let _ = std::io::stdout().write_all(text.as_bytes());
+}
+
 fn main() -> ExitCode {
     let cli = Cli::parse();
     let done = match cli.command {
@@ -187,16 +193,16 @@
 fn list() {
     for (name, text) in scenario::BUILT_IN {
         let about = scenario::read(name, text, &[]).map_or_else(|e| e.to_string(), |s| s.about);
-        println!("{name:<14} {about}");
+        say(&format!("{name:<14} {about}\n"));
     }
 }
 
 fn check(args: &Check) -> Result<u8, String> {
     let (_, plan) = planned(&args.which)?;
     if args.plan {
-        println!("{}", serde_json::to_string(&plan).map_err(|e| e.to_string())?);
+        say(&(serde_json::to_string(&plan).map_err(|e| e.to_string())? + "\n"));
     } else {
-        print!("{}", table::plan(&plan));
+        say(&table::plan(&plan));
     }
     Ok(HELD)
 }
@@ -267,7 +273,7 @@
     std::fs::create_dir_all(&logs).map_err(|e| format!("{}: {e}", logs.display()))?;
     write(&out, "plan.json", &serde_json::to_string(&*plan).map_err(|e| e.to_string())?)?;
     if !args.quiet {
-        print!("{}", table::plan(&plan));
+        say(&table::plan(&plan));
     }
     let bar = if args.quiet { ProgressBar::hidden() } else { ProgressBar::new(plan.length_us / 1000) };
     let style = "{bar:30} {msg}";
@@ -294,8 +300,8 @@
         &micasail_lab::report::html(&plan, &played, &breaches, broken_off.as_deref()),
     )?;
     if !args.quiet {
-        print!("{}", table::played(&played));
-        println!("report: {}", out.join("report.html").display());
+        say(&table::played(&played));
+        say(&format!("report: {}\n", out.join("report.html").display()));
     }
     for breach in &breaches {
         eprintln!("lab: rule broken at {:.3} s: {}", breach.at_us as f64 / 1e6, breach.what);
@@ -329,8 +335,8 @@
     let folder = tempfile::tempdir().map_err(|e| format!("no folder for the agents: {e}"))?;
     let stage = Stage::set_up(plan.clone(), &program, folder.path()).await?;
     stage.world.clock.begin();
-    print!("{}", table::addresses(&stage));
-    println!("Ctrl-C ends it.");
+    say(&table::addresses(&stage));
+    say("Ctrl-C ends it.\n");
     tokio::select! {
         _ = stopped() => {}
         why = stage.world.broken_off() => eprintln!("lab: {why}"),
@@ -363,12 +369,12 @@
     bar.finish_and_clear();
     let swept = swept?;
     for (agent, sweep) in agents.iter().zip(&swept) {
-        println!("{}", agent.display());
-        print!("{}", sweep::table(sweep));
+        say(&format!("{}\n", agent.display()));
+        say(&sweep::table(sweep));
     }
     for (agent, sweep) in agents.iter().zip(&swept).skip(1) {
-        println!("{} against {}", agent.display(), agents[0].display());
-        print!("{}", micasail_lab::compare::compare(&swept[0], sweep)?);
+        say(&format!("{} against {}\n", agent.display(), agents[0].display()));
+        say(&micasail_lab::compare::compare(&swept[0], sweep)?);
     }
     Ok(HELD)
 }
@@ -383,7 +389,7 @@
 
 fn compare(args: &Compare) -> Result<u8, String> {
     use micasail_lab::compare::{compare, Sweep};
-    print!("{}", compare(&Sweep::read(&args.base)?, &Sweep::read(&args.new)?)?);
+    say(&compare(&Sweep::read(&args.base)?, &Sweep::read(&args.new)?)?);
     Ok(HELD)
 }
 
@@ -402,7 +408,7 @@
             costs.push(saturate::measure(&agent.display().to_string(), agent, &[], core, tell).await?);
         }
         bar.finish_and_clear();
-        print!("{}", saturate::table(&costs));
+        say(&saturate::table(&costs));
         if let Some(file) = &args.json {
             let text = serde_json::to_string_pretty(&costs).map_err(|e| e.to_string())?;
             std::fs::write(file, text).map_err(|e| format!("{}: {e}", file.display()))?;
--- a/lab/tests/plays.rs
+++ b/lab/tests/plays.rs
@@ -231,6 +231,15 @@
     assert!(said.contains("no verdict: the lab itself ran late"), "{said}");
 }
 
+#[test]
+fn a_reader_that_has_left_is_no_reason_to_panic() {
+    let full = || std::fs::File::create("/dev/full").expect("a device that takes nothing");
+    for args in [&["list"][..], &["check", "quickstart"], &["check", "quickstart", "--plan"]] {
+        let status = lab(args).stdout(full()).status().expect("it runs");
+        assert_eq!(status.code(), Some(0), "{args:?}");
+    }
+}
+
 #[test]
 fn bad_input_is_one_line_and_exit_2() {
     let cases: [(&[&str], &str); 4] = [
