--- a/lab/src/clock.rs
+++ b/lab/src/clock.rs
@@ -50,13 +50,13 @@
     /// The lab has done something that was due at `due`.
     pub fn did(&self, due: Micros) {
         let late = self.now().saturating_sub(due).clamp(1, LATE_MOST);
-        let mut histogram = self.late.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        let mut histogram = crate::lock(&self.late);
         let _ = histogram.record(late);
     }
 
     /// The lab's own lateness in milliseconds at a quantile from 0 to 1.
     pub fn late_ms(&self, quantile: f64) -> f64 {
-        let histogram = self.late.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        let histogram = crate::lock(&self.late);
         histogram.value_at_quantile(quantile) as f64 / 1e3
     }
 }
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -19,3 +19,8 @@
 pub mod stage;
 pub mod sweep;
 pub mod table;
+
+/// Takes a lock. What a panic elsewhere has left is still a record; the panic itself breaks the play off.
+fn lock<T>(slot: &std::sync::Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    slot.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -138,8 +138,10 @@
         loop {
             let ended = {
                 let ledger = world.ledger();
-                let served = ledger.outcomes.iter().flatten().filter(|o| o.served_us.is_some()).count();
-                let ended = ledger.outcomes.iter().flatten().count();
+                let (ended, served) =
+                    ledger.outcomes.iter().flatten().fold((0, 0), |(ended, served), outcome| {
+                        (ended + 1, served + usize::from(outcome.served_us.is_some()))
+                    });
                 let at_s = world.clock.now() as f64 / 1e6;
                 tell(Tick::Progress { at_s, ended, served, rules: ledger.rules });
                 ended
@@ -170,7 +172,7 @@
     let stage = Stage { world: world.clone(), agents, tasks };
     let used = stage.take_down().await;
     let ledger = world.ledger();
-    own.samples = std::mem::take(&mut *looked.lock().unwrap_or_else(|poisoned| poisoned.into_inner()));
+    own.samples = std::mem::take(&mut *crate::lock(&looked));
     let played = result::sum_up(&plan, &ledger, used, own);
     Ok(End { played, breaches: ledger.breaches.clone(), broken_off })
 }
@@ -180,7 +182,7 @@
     let step = (result::SAMPLE_S * 1e6) as u64;
     for n in 0.. {
         sleep_until(world.clock.instant(n * step)).await;
-        let mut looked = looked.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        let mut looked = crate::lock(&looked);
         for (machine, samples) in world.machines.iter().zip(looked.iter_mut()) {
             let up = machine.seen().borrow().0 == Presence::Up;
             samples.push(machine.with(|renderer| Sample {
--- a/lab/src/saturate.rs
+++ b/lab/src/saturate.rs
@@ -288,19 +288,19 @@
             tasks.spawn(async move {
                 let asked = timeout(PATIENCE, async {
                     let _place = places.acquire().await.ok()?;
-                    let kept = pool.lock().unwrap_or_else(|p| p.into_inner()).pop();
+                    let kept = crate::lock(&pool).pop();
                     let mut sender = match kept.filter(|sender| sender.is_ready()) {
                         Some(sender) => sender,
                         None => bench.connect().await?,
                     };
                     let served = bench.ask(&mut sender, &format!("/{}/1", bench.class)).await?;
-                    pool.lock().unwrap_or_else(|p| p.into_inner()).push(sender);
+                    crate::lock(&pool).push(sender);
                     Some(served)
                 });
                 let served = asked.await.ok().flatten() == Some(true);
                 if counts {
                     let us = due.elapsed().as_micros() as u64;
-                    let mut times = times.lock().unwrap_or_else(|p| p.into_inner());
+                    let mut times = crate::lock(&times);
                     times.0.saturating_record(us.max(1));
                     times.1 += 1;
                     times.2 += u64::from(served);
@@ -309,7 +309,7 @@
             while tasks.try_join_next().is_some() {}
         }
         while tasks.join_next().await.is_some() {}
-        let times = times.lock().unwrap_or_else(|p| p.into_inner());
+        let times = crate::lock(&times);
         let n = times.1.max(1) as f64;
         let used = cpu.map_or(0.0, |(before, _)| self.cpu_s() - before);
         let at = |q: f64| times.0.value_at_quantile(q) as f64 / 1e3;
--- a/lab/src/stage/clients.rs
+++ b/lab/src/stage/clients.rs
@@ -38,7 +38,7 @@
 
 impl Pool {
     fn idle(&self) -> MutexGuard<'_, Vec<Sender>> {
-        self.idle.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+        crate::lock(&self.idle)
     }
 }
 
--- a/lab/src/stage/directory.rs
+++ b/lab/src/stage/directory.rs
@@ -95,7 +95,7 @@
     }
 
     fn news(&self) -> MutexGuard<'_, Vec<News>> {
-        self.news.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+        crate::lock(&self.news)
     }
 
     /// The list has news of a renderer now.
--- a/lab/src/stage/faults.rs
+++ b/lab/src/stage/faults.rs
@@ -220,7 +220,7 @@
 
     /// Changes which faults of links are on, and lays every link anew.
     fn lay(&self, change: impl FnOnce(&mut Vec<usize>)) {
-        let mut on = self.links.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        let mut on = crate::lock(&self.links);
         change(&mut on);
         let plan = &self.world.plan;
         for agent in 0..plan.agents.len() {
--- a/lab/src/stage/machine.rs
+++ b/lab/src/stage/machine.rs
@@ -78,7 +78,7 @@
     }
 
     fn held(&self) -> MutexGuard<'_, Held> {
-        self.held.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+        crate::lock(&self.held)
     }
 
     /// What the network sees of it.
--- a/lab/src/stage/mod.rs
+++ b/lab/src/stage/mod.rs
@@ -127,7 +127,7 @@
 
     /// The ledger; never held across a wait.
     pub fn ledger(&self) -> MutexGuard<'_, Ledger> {
-        self.ledger.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+        crate::lock(&self.ledger)
     }
 
     /// From now on a request by this id may be tried by hand at the first agent, as often as wanted.
--- a/lab/src/stage/peers.rs
+++ b/lab/src/stage/peers.rs
@@ -89,7 +89,7 @@
     }
 
     fn draw(&self) -> Seed {
-        let mut draw = self.draw.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        let mut draw = crate::lock(&self.draw);
         Seed(draw.bits())
     }
 
--- a/lab/src/stage/processes.rs
+++ b/lab/src/stage/processes.rs
@@ -122,7 +122,7 @@
     }
 
     fn held(&self, agent: usize) -> MutexGuard<'_, Held> {
-        self.agents[agent].held.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+        crate::lock(&self.agents[agent].held)
     }
 
     fn config_file(&self, world: &World, agent: usize) -> PathBuf {
--- a/lab/src/sweep.rs
+++ b/lab/src/sweep.rs
@@ -142,23 +142,23 @@
         }
         let total = jobs.len();
         let (jobs, trouble, ended) = (Mutex::new(jobs), Mutex::new(None), Mutex::new(0));
-        let lock = |slot: &Mutex<Option<String>>| slot.lock().unwrap_or_else(|p| p.into_inner()).clone();
+        let said = |slot: &Mutex<Option<String>>| crate::lock(slot).clone();
         std::thread::scope(|scope| {
             for _ in 0..side_by_side {
                 scope.spawn(|| loop {
-                    let job = jobs.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).pop_front();
-                    let Some(job) = job.filter(|_| lock(&trouble).is_none()) else { return };
+                    let job = crate::lock(&jobs).pop_front();
+                    let Some(job) = job.filter(|_| said(&trouble).is_none()) else { return };
                     if let Err(why) = self.play(&job) {
-                        trouble.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).get_or_insert(why);
+                        crate::lock(&trouble).get_or_insert(why);
                         return;
                     }
-                    let mut ended = ended.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+                    let mut ended = crate::lock(&ended);
                     *ended += 1;
                     tell(*ended, total);
                 });
             }
         });
-        if let Some(why) = lock(&trouble) {
+        if let Some(why) = said(&trouble) {
             return Err(why);
         }
         let sweeps = (0..self.agents.len()).map(|place| {
