--- a/agent/src/upstream.rs
+++ b/agent/src/upstream.rs
@@ -629,10 +629,10 @@
     /// A backend whose connects fail becomes suspect; one that the agent has no descriptor for must not.
     #[tokio::test]
     async fn an_attempt_without_a_place_was_not_sent() {
-        // Nobody listens there any more.
-        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let dial = listener.local_addr().expect("an address").to_string();
-        drop(listener);
+        // Nobody listens there, and nobody else can while it is held.
+        let held = tokio::net::TcpSocket::new_v4().expect("a socket");
+        held.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+        let dial = held.local_addr().expect("an address").to_string();
         let host = serde_json::json!({"host": "s", "dial": dial, "site": "a", "health": "up"});
         let list = serde_json::json!({"seq": 1, "whole": true, "hosts": [host]});
         let list = crate::discovery::parse_list(&list).expect("a list");
