--- /dev/null
+++ b/agent/src/application/mod.rs
@@ -0,0 +1,3 @@
+//! What the application beside the agent connects to.
+
+pub mod server;
--- a/agent/src/server.rs
+++ b/agent/src/application/server.rs
@@ -1,9 +1,9 @@
 //! The application's side: takes requests in, checks them, and writes the one answer of each.
 
-use crate::body::{Hold, Intake, Reply, Unread, BUFFER, KEPT_MOST, REQUEST_MOST};
 use crate::driver::{Answer, Arrival, Content, Driver};
-use crate::pace::{Asked, Pace, Patience, Timed};
-use crate::upstream::{forwarded, Served};
+use crate::renderers::upstream::{forwarded, Served};
+use crate::traffic::body::{Hold, Intake, Reply, Unread, BUFFER, KEPT_MOST, REQUEST_MOST};
+use crate::traffic::pace::{Asked, Pace, Patience, Timed};
 use bytes::BytesMut;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -374,7 +374,7 @@
 mod tests {
     use super::*;
     use crate::config::Config;
-    use crate::handover::Cordons;
+    use crate::peers::handover::Cordons;
     use std::io::Write as _;
     use std::os::fd::OwnedFd;
     use std::os::unix::net::UnixStream;
--- a/agent/src/config.rs
+++ b/agent/src/config/mod.rs
@@ -1,6 +1,6 @@
 //! What the agent is told at its start: the `PROXY_*` variables and the file that `PROXY_CONFIG` names.
 
-use crate::discovery::{self, List};
+use crate::renderers::discovery::{self, List};
 use micasail::Settings;
 use micasail_settings::{Names, Params};
 use serde::Deserialize;
--- a/agent/src/driver.rs
+++ b/agent/src/driver/mod.rs
@@ -3,13 +3,13 @@
 //! Nothing is decided here. Everything runs on one thread, so an event is handled, and its actions are carried
 //! out, before anything else happens; an action never calls back into the balancer, it queues an event.
 
-use crate::body::{Budget, Hold, Intake, Outgoing, Step};
 use crate::config::Config;
-use crate::discovery::{Discovery, Health, List};
 use crate::figures::{self, End, Figures, Taken};
-use crate::handover::{self, Cordons, Word};
 use crate::log::{self, log_line, Log, Tried};
-use crate::upstream::{Ended, Progress, Served, Upstream};
+use crate::peers::handover::{self, Cordons, Word};
+use crate::renderers::discovery::{Discovery, Health, List};
+use crate::renderers::upstream::{Ended, Progress, Served, Upstream};
+use crate::traffic::body::{Budget, Hold, Intake, Outgoing, Step};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Body;
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -1,23 +1,22 @@
 //! A client-side load-balancing agent: HTTP/1.1 from the application beside it, HTTP/1.1 to the backends, and
 //! the decisions of `micasail` in between.
 
-mod body;
+mod application;
 mod config;
-mod discovery;
 mod driver;
 mod figures;
-mod handover;
 mod log;
-mod operator;
-mod pace;
-mod server;
-mod upstream;
+mod peers;
+mod renderers;
+mod staff;
+mod traffic;
 
+use application::server::{self, Server};
 use config::Config;
 use driver::Driver;
-use handover::Cordons;
 use log::log_line;
-use server::Server;
+use peers::handover::{self, Cordons};
+use staff::operator;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
--- /dev/null
+++ b/agent/src/renderers/mod.rs
@@ -0,0 +1,4 @@
+//! The renderers' side: the connections to them, and discovery, which lists them.
+
+pub mod discovery;
+pub mod upstream;
--- a/agent/src/upstream.rs
+++ b/agent/src/renderers/upstream.rs
@@ -3,9 +3,9 @@
 //! A connection carries one exchange at a time and is used again only after a whole answer. Whatever else ends
 //! an exchange (a time-out, a cancel, an error) ends its connection with it.
 
-use crate::body::{Budget, Outgoing, Reply, BUFFER, KEPT_MOST};
-use crate::discovery::{Health, Host};
 use crate::figures::Figures;
+use crate::renderers::discovery::{Health, Host};
+use crate::traffic::body::{Budget, Outgoing, Reply, BUFFER, KEPT_MOST};
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -635,7 +635,7 @@
         let dial = held.local_addr().expect("an address").to_string();
         let host = serde_json::json!({"host": "s", "dial": dial, "site": "a", "health": "up"});
         let list = serde_json::json!({"seq": 1, "whole": true, "hosts": [host]});
-        let list = crate::discovery::parse_list(&list).expect("a list");
+        let list = crate::renderers::discovery::parse_list(&list).expect("a list");
         let wait = Duration::from_secs(10);
         for (places, outcome) in [(0, Outcome::NotSent), (1, Outcome::ConnectFailed)] {
             let budget = Rc::new(Budget::of(32, false));
--- /dev/null
+++ b/agent/src/staff/mod.rs
@@ -0,0 +1,3 @@
+//! The staff's side: the second address.
+
+pub mod operator;
--- a/agent/src/body.rs
+++ b/agent/src/traffic/body.rs
@@ -2,8 +2,8 @@
 //! next when the last has been taken, and what is held of all of them together stays within one budget.
 
 use crate::figures::{End, Taken};
-use crate::pace::{Asked, Patience};
-use crate::upstream::Lease;
+use crate::renderers::upstream::Lease;
+use crate::traffic::pace::{Asked, Patience};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
--- /dev/null
+++ b/agent/src/traffic/mod.rs
@@ -0,0 +1,4 @@
+//! What both sides of the agent share: bodies on their way, and the pace at which they come.
+
+pub mod body;
+pub mod pace;
