Take the circle out of the agent, cut its driver along its jobs, and make it a library

Now: the list is a file of its own below all; discovery is given whom to tell, a long answer how to give its connection back; the driver is a queue (clock, events, timers), the servers' names and list, the requests that are owed an answer, and the driver that carries out decisions with them; what the staff's calls mean stands above it, with cordons and what is learned. The agent is a library, main only runs it. Nothing that it does on a socket changes.

agent/tests/layers.rs holds the order; it fails when a lower file names a higher one (tried at two places). The agent's tests pass as they were.

--- a/agent/src/application/server.rs
+++ b/agent/src/application/server.rs
@@ -1,6 +1,7 @@
 //! The application's side: takes requests in, checks them, and writes the one answer of each.
 
-use crate::driver::{Answer, Arrival, Content, Driver};
+use crate::driver::requests::{Answer, Arrival, Content};
+use crate::driver::Driver;
 use crate::renderers::upstream::{forwarded, Served};
 use crate::traffic::body::{Hold, Intake, Reply, Unread, BUFFER, KEPT_MOST, REQUEST_MOST};
 use crate::traffic::pace::{Asked, Pace, Patience, Timed};
@@ -374,7 +375,6 @@
 mod tests {
     use super::*;
     use crate::config::Config;
-    use crate::peers::handover::Cordons;
     use std::io::Write as _;
     use std::os::fd::OwnedFd;
     use std::os::unix::net::UnixStream;
@@ -410,7 +410,7 @@
         let local = tokio::task::LocalSet::new();
         local
             .run_until(async {
-                let driver = Driver::start(config, 8, Cordons::new(None)).expect("a driver");
+                let driver = Driver::start(config, 8).expect("a driver");
                 let server = Server::new(driver, 8);
                 let (ours, mut theirs) = without_options().expect("a pair");
                 assert!(ours.set_nodelay(true).is_err(), "the option can be set here");
@@ -448,7 +448,7 @@
         let local = tokio::task::LocalSet::new();
         local
             .run_until(async {
-                let driver = Driver::start(config, 8, Cordons::new(None)).expect("a driver");
+                let driver = Driver::start(config, 8).expect("a driver");
                 tokio::task::spawn_local(driver.clone().run());
                 let server = Server::new(driver, 8);
                 let (ours, mut theirs) = without_options().expect("a pair");
--- a/agent/src/config/mod.rs
+++ b/agent/src/config/mod.rs
@@ -1,6 +1,6 @@
 //! What the agent is told at its start: the `PROXY_*` variables and the file that `PROXY_CONFIG` names.
 
-use crate::renderers::discovery::{self, List};
+use crate::list::{self, List};
 use micasail::Settings;
 use micasail_settings::{Names, Params};
 use serde::Deserialize;
@@ -116,7 +116,7 @@
         let seed = file.seed.unwrap_or_default();
         let known = match file.known {
             serde_json::Value::Null => List::default(),
-            value => discovery::parse_list(&value).ok_or("known is no server list")?,
+            value => list::parse_list(&value).ok_or("known is no server list")?,
         };
         Ok(Config {
             name: var("PROXY_NAME").or(file.name).unwrap_or_else(|| "agent".into()),
--- /dev/null
+++ b/agent/src/driver/servers.rs
@@ -0,0 +1,96 @@
+//! The servers by name and number, and the list in the balancer's terms.
+
+use crate::list::{Health, Host, List};
+use crate::log::log_line;
+use micasail::{CellId, KindId, Listed, ServerId, Status, Time, ZoneId};
+use micasail_settings::{fnv1a, Names};
+use std::collections::{HashMap, HashSet};
+
+/// What is known of the servers by the list.
+#[derive(Default)]
+pub struct Servers {
+    ids: HashMap<String, ServerId>,
+    names: HashMap<ServerId, String>,
+    /// Servers that the list says are up.
+    up: HashSet<ServerId>,
+    /// The version of the list.
+    pub seq: u64,
+}
+
+impl Servers {
+    /// Whether there is one to send to.
+    pub fn any_up(&self) -> bool {
+        !self.up.is_empty()
+    }
+
+    /// The number of a server that has had this name.
+    pub fn id(&self, name: &str) -> Option<ServerId> {
+        self.ids.get(name).copied()
+    }
+
+    /// A server's name.
+    pub fn name(&self, server: ServerId) -> &str {
+        self.names.get(&server).map_or("", String::as_str)
+    }
+
+    /// Takes in a list: where its servers are reached is for `describe`, and the rest is put in the balancer's terms.
+    pub fn take(
+        &mut self,
+        list: &List,
+        names: &Names,
+        mut describe: impl FnMut(ServerId, &Host),
+    ) -> Vec<Listed> {
+        self.seq = list.seq;
+        let mut lines = Vec::with_capacity(list.hosts.len());
+        if list.whole {
+            self.up.clear();
+        }
+        for host in &list.hosts {
+            let server = self.intern(&host.name);
+            describe(server, host);
+            let status = match host.health {
+                Health::Up => Status::Serving,
+                Health::Draining => Status::Draining,
+                Health::Removed => Status::Gone,
+            };
+            if status == Status::Serving {
+                self.up.insert(server);
+            } else {
+                self.up.remove(&server);
+            }
+            lines.push(Listed {
+                server,
+                zone: ZoneId(place(&names.zones, &host.site)),
+                kind: KindId(place(&names.kinds, &host.kind)),
+                cell: CellId(host.block),
+                status,
+                weight: host.share,
+                started: (host.born_ms > 0.0).then(|| Time::from_ms(host.born_ms)),
+            });
+        }
+        lines
+    }
+
+    /// A server's number is a hash of its name, the same at every agent. Should two names meet in one number,
+    /// the later one takes the next that is free.
+    pub fn intern(&mut self, name: &str) -> ServerId {
+        if let Some(id) = self.ids.get(name) {
+            return *id;
+        }
+        let mut id = fnv1a(name) as u32;
+        while self.names.contains_key(&ServerId(id)) {
+            id = id.wrapping_add(1);
+        }
+        log_line!("server {id} is {name}");
+        self.names.insert(ServerId(id), name.to_owned());
+        self.ids.insert(name.to_owned(), ServerId(id));
+        ServerId(id)
+    }
+}
+
+/// A name's place in the settings; one that they lack gets a number of its own past them, so that no two zones
+/// pass for one.
+fn place(names: &[String], name: &str) -> u32 {
+    let known = names.iter().position(|n| n == name);
+    known.unwrap_or_else(|| names.len() + (fnv1a(name) as u32 >> 1) as usize) as u32
+}
--- /dev/null
+++ b/agent/src/lib.rs
@@ -0,0 +1,20 @@
+//! A client-side load-balancing agent: HTTP/1.1 from the application beside it, HTTP/1.1 to the backends, and
+//! the decisions of `micasail` in between.
+//!
+//! Each layer uses only those before it: the list, the figures, the log and the configuration; what both sides share
+//! (`traffic`); the renderers and other processes (`renderers`, `peers`); the `driver`, which carries out what the module
+//! decides; the application's and the staff's side; and the process that holds them together.
+
+mod application;
+mod config;
+mod driver;
+mod figures;
+mod list;
+mod log;
+mod peers;
+mod process;
+mod renderers;
+mod staff;
+mod traffic;
+
+pub use process::run;
--- /dev/null
+++ b/agent/src/process.rs
@@ -0,0 +1,129 @@
+//! One process of the agent, from its start to its last answer.
+
+use crate::application::server::{self, Server};
+use crate::config::Config;
+use crate::driver::Driver;
+use crate::log::log_line;
+use crate::peers::handover;
+use crate::staff::operator;
+use crate::staff::words::Staff;
+use std::path::PathBuf;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::time::{sleep, timeout, Instant};
+
+/// Descriptors that are neither the application's nor the backends': files, discovery, the runtime's own.
+const SPARE_SOCKETS: usize = 24;
+/// The part of the others that is the backends'. The application uses a third for its requests and no more
+/// attempts are out than that; what mute peers hold until they are let go comes on top of the application's.
+const BACKENDS_SHARE: usize = 3;
+/// A process that inherits its listener leaves it alone until it has a list, but no longer than this.
+const LIST_WAIT: Duration = Duration::from_secs(4);
+/// Answers that are decided are written within this.
+const FLUSH: Duration = Duration::from_millis(30);
+
+/// Reads what this process is told at its start, and serves until it is told to end. The error is one line.
+pub fn run() -> Result<(), String> {
+    // Before anything is opened that could take the descriptor's number.
+    let held = handover::listener(|name| std::env::var(name).ok())?;
+    let config = Config::load(|name| std::env::var(name).ok())?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|e| format!("cannot start the runtime: {e}"))?;
+    tokio::task::LocalSet::new().block_on(&runtime, serve(config, held))
+}
+
+/// Serves until SIGTERM, and then until all that came is answered.
+async fn serve(config: Config, held: Option<std::net::TcpListener>) -> Result<(), String> {
+    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("cannot await SIGTERM: {e}"))?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("cannot await SIGHUP: {e}"))?;
+    let listen = config.listen;
+    let handed_on = held.is_some();
+    let listener = match held {
+        Some(held) => TcpListener::from_std(held),
+        None => TcpListener::bind(listen).await,
+    };
+    let listener = listener.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
+    let address = listener.local_addr().map_err(|e| format!("cannot listen on {listen}: {e}"))?;
+    let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
+    let name = config.name.clone();
+    let operator = config.operator;
+    let apart = SPARE_SOCKETS + operator.map_or(0, |_| operator::SOCKETS);
+    let sockets = config.sockets.saturating_sub(apart);
+    let backends = sockets / BACKENDS_SHARE;
+    let folder = std::env::var_os("TMPDIR").filter(|_| operator.is_some()).map(PathBuf::from);
+    let driver = Driver::start(config, backends).map_err(|e| e.to_string())?;
+    let staff = Staff::new(driver.clone(), folder);
+    let mut driven = tokio::task::spawn_local(driver.clone().run());
+    let server = Server::new(driver.clone(), sockets - backends);
+    let (accepted, ready) = (server.clone(), driver.clone());
+    let accepting = tokio::task::spawn_local(async move {
+        // Meanwhile the process beside takes what comes, or it waits in the queue that the platform holds.
+        let usable = async {
+            while handed_on && !ready.ready() {
+                sleep(FLUSH).await;
+            }
+        };
+        let _ = timeout(LIST_WAIT, usable).await;
+        accepted.accept(listener).await;
+    });
+    if let Some(operator) = operator {
+        tokio::task::spawn_local(operator::listen(staff.clone(), operator));
+        staff.learn();
+        let driver = driver.clone();
+        tokio::task::spawn_local(async move {
+            let mut kept = Instant::now();
+            loop {
+                sleep(handover::LOOK).await;
+                staff.look();
+                // A process that has handed over leaves the file to the new one.
+                if driver.accepts.get() && kept.elapsed() >= handover::LEARN {
+                    staff.keep_learned();
+                    kept = Instant::now();
+                }
+            }
+        });
+    }
+    log_line!("{name}: listening on {address}");
+
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = hangup.recv() => match Config::discovery_now(|name| std::env::var(name).ok()) {
+                Ok(discovery) => {
+                    log_line!("{name}: discovery is at {discovery} now");
+                    driver.discovery_moved(discovery);
+                }
+                // What was known still stands: a bad file must not end a running agent.
+                Err(why) => log_line!("{name}: the new configuration is not taken: {why}"),
+            },
+            // Without its clock the agent would take requests and answer none: better that it ends and is
+            // restarted.
+            _ = &mut driven => return Err("the decisions have stopped".into()),
+        }
+    }
+    let told = Instant::now();
+    if handed_on {
+        // The queue is the new process's, or the next one's: the platform holds the socket.
+        accepting.abort();
+        server.hand_over();
+    } else {
+        server.drain();
+        sleep(server::ACCEPT_ON).await;
+        accepting.abort();
+    }
+    // What is in flight has its deadline; past the longest one nothing is owed any more.
+    let last = told + server::ACCEPT_ON + Duration::from_micros(longest.0);
+    loop {
+        sleep(FLUSH).await;
+        let left = if handed_on { server.open() } else { server.busy() };
+        if !left || Instant::now() >= last {
+            break;
+        }
+    }
+    sleep(FLUSH).await;
+    log_line!("{name}: all is answered");
+    Ok(())
+}
--- a/agent/src/renderers/discovery.rs
+++ b/agent/src/renderers/discovery.rs
@@ -3,14 +3,13 @@
 //! When to begin a watch and when to ask again after a failure is the balancer's to say
 //! ([`micasail::Action::Follow`], [`micasail::Action::FetchList`]); a watch once begun is kept up here.
 
-use crate::driver::Driver;
+use crate::list::{parse_list, List};
 use crate::log::log_line;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use serde_json::Value;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -26,82 +25,8 @@
 /// The longest list that is read.
 const LIST_MOST: usize = 4 << 20;
 
-/// A server list or a change of one, as discovery words it.
-#[derive(Debug, Clone, Default, PartialEq)]
-pub struct List {
-    /// Its version.
-    pub seq: u64,
-    /// It is the whole list, not only what has changed.
-    pub whole: bool,
-    /// Its entries.
-    pub hosts: Vec<Host>,
-}
-
-/// One server.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Host {
-    /// Its name, the same at every agent.
-    pub name: String,
-    /// Where this agent reaches it; an entry of a removed server may lack it.
-    pub dial: Option<SocketAddr>,
-    /// Its zone.
-    pub site: String,
-    /// Its kind of machine.
-    pub kind: String,
-    /// Its cell.
-    pub block: u32,
-    /// What it says of its health.
-    pub health: Health,
-    /// Its weight.
-    pub share: f64,
-    /// When it last started, in Unix milliseconds; 0 for long ago.
-    pub born_ms: f64,
-}
-
-/// Whether a server takes work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Health {
-    /// It does.
-    Up,
-    /// It finishes what it has.
-    Draining,
-    /// It has left.
-    Removed,
-}
-
-/// Reads a list. An entry that makes no sense is left out: one bad line must not cost the others.
-pub fn parse_list(value: &Value) -> Option<List> {
-    let hosts = value.get("hosts")?.as_array()?;
-    Some(List {
-        seq: value.get("seq")?.as_u64()?,
-        whole: value.get("whole").and_then(Value::as_bool).unwrap_or(false),
-        hosts: hosts.iter().filter_map(parse_host).collect(),
-    })
-}
-
-fn parse_host(value: &Value) -> Option<Host> {
-    let text = |key: &str| value.get(key).and_then(Value::as_str);
-    let health = match text("health")? {
-        "up" => Health::Up,
-        "draining" => Health::Draining,
-        "removed" => Health::Removed,
-        _ => return None,
-    };
-    let dial = text("dial").and_then(|d| d.parse().ok());
-    if dial.is_none() && health == Health::Up {
-        return None;
-    }
-    Some(Host {
-        name: text("host").filter(|name| !name.is_empty())?.to_owned(),
-        dial,
-        site: text("site").unwrap_or_default().to_owned(),
-        kind: text("class").unwrap_or_default().to_owned(),
-        block: value.get("block").and_then(Value::as_u64).and_then(|b| u32::try_from(b).ok()).unwrap_or(0),
-        health,
-        share: value.get("share").and_then(Value::as_f64).unwrap_or(1.0),
-        born_ms: value.get("born_ms").and_then(Value::as_f64).unwrap_or(0.0),
-    })
-}
+/// Who hears what discovery says; `None` for a call that failed.
+pub type News = Rc<dyn Fn(Option<List>)>;
 
 /// The calls to discovery; at most one watch and one call for the whole list at a time.
 pub struct Discovery {
@@ -117,47 +42,47 @@
     }
 
     /// Begins a watch for what is newer than `seq`, or with the whole list, or ends the one there is.
-    pub fn follow(&mut self, driver: &Rc<Driver>, active: bool, seq: Option<u64>) {
+    pub fn follow(&mut self, news: &News, active: bool, seq: Option<u64>) {
         if let Some(watch) = self.watch.take() {
             watch.abort();
         }
         if active {
-            let watch = watch(self.address, driver.clone(), seq);
+            let watch = watch(self.address, news.clone(), seq);
             self.watch = Some(tokio::task::spawn_local(watch));
         }
     }
 
     /// Calls another address from now on. What is on at the old one ends; a watch begins anew with the whole
     /// list, as nobody says that both count versions alike.
-    pub fn moved(&mut self, driver: &Rc<Driver>, address: SocketAddr) {
+    pub fn moved(&mut self, news: &News, address: SocketAddr) {
         self.address = address;
         let fetching = self.fetch.take().is_some_and(|fetch| {
             fetch.abort();
             !fetch.is_finished()
         });
         if self.watch.is_some() {
-            self.follow(driver, true, None);
+            self.follow(news, true, None);
         } else if fetching {
-            self.fetch(driver);
+            self.fetch(news);
         }
     }
 
     /// Asks for the whole list once.
-    pub fn fetch(&mut self, driver: &Rc<Driver>) {
+    pub fn fetch(&mut self, news: &News) {
         if self.fetch.as_ref().is_some_and(|f| !f.is_finished()) {
             return;
         }
-        let (address, driver) = (self.address, driver.clone());
+        let (address, news) = (self.address, news.clone());
         self.fetch = Some(tokio::task::spawn_local(async move {
             let mut connection = None;
-            driver.listed(call(address, &mut connection, "/v1/endpoints", Duration::ZERO).await);
+            news(call(address, &mut connection, "/v1/endpoints", Duration::ZERO).await);
         }));
     }
 }
 
 /// Calls again as soon as the last call is answered, until one fails: then the watch is over, the balancer is
 /// told, and begins another when it sees fit.
-async fn watch(address: SocketAddr, driver: Rc<Driver>, mut seq: Option<u64>) {
+async fn watch(address: SocketAddr, news: News, mut seq: Option<u64>) {
     let mut connection = None;
     loop {
         let (path, wait) = match seq {
@@ -169,7 +94,7 @@
         if let Some(list) = &answer {
             seq = Some(list.seq);
         }
-        driver.listed(answer);
+        news(answer);
         if failed {
             return;
         }
@@ -241,32 +166,3 @@
     }
     answer
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use serde_json::json;
-
-    #[test]
-    fn entries_without_sense_are_left_out_and_unknown_fields_skipped() {
-        let list = parse_list(&json!({"seq": 7, "whole": true, "novel": 1, "hosts": [
-            {"host": "a", "dial": "127.0.0.1:1", "site": "x", "health": "up", "born_ms": 5.0, "novel": {}},
-            {"host": "b", "dial": "nowhere", "health": "up"},
-            {"host": "c", "dial": "127.0.0.1:1", "health": "asleep"},
-            {"host": 4, "dial": "127.0.0.1:1", "health": "up"},
-            {"host": "d", "health": "removed", "block": -3},
-            "e"]}))
-        .expect("a list");
-        let names: Vec<&str> = list.hosts.iter().map(|h| h.name.as_str()).collect();
-        assert_eq!(names, ["a", "d"]);
-        assert_eq!((list.seq, list.whole), (7, true));
-        assert_eq!(list.hosts[0].born_ms, 5.0);
-    }
-
-    #[test]
-    fn what_is_no_list_is_none() {
-        for value in [json!(null), json!([]), json!({"seq": 1}), json!({"seq": "1", "hosts": []})] {
-            assert_eq!(parse_list(&value), None, "{value}");
-        }
-    }
-}
--- a/agent/src/renderers/upstream.rs
+++ b/agent/src/renderers/upstream.rs
@@ -4,7 +4,7 @@
 //! an exchange (a time-out, a cancel, an error) ends its connection with it.
 
 use crate::figures::Figures;
-use crate::renderers::discovery::{Health, Host};
+use crate::list::{Health, Host};
 use crate::traffic::body::{Budget, Outgoing, Reply, BUFFER, KEPT_MOST};
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -197,19 +197,6 @@
     }
 }
 
-/// A connection whose answer is being passed on.
-pub struct Lease {
-    connection: Connection,
-    upstream: Rc<Upstream>,
-}
-
-impl Lease {
-    /// The answer was whole: the connection may serve another request.
-    pub fn give_back(self) {
-        tokio::task::spawn_local(self.upstream.clone().settle(self.connection));
-    }
-}
-
 /// A counted place among the connections that the process may hold.
 struct Place(Rc<Cell<usize>>);
 
@@ -481,7 +468,9 @@
         } else {
             drop(hold);
             let hold = self.budget.passing().await.map_err(|e| reason(&e))?;
-            Reply::begun(first, body, Lease { connection, upstream: self.clone() }, hold)
+            let upstream = self.clone();
+            let give_back = move || drop(tokio::task::spawn_local(upstream.settle(connection)));
+            Reply::begun(first, body, Box::new(give_back), hold)
         };
         Ok(Ended { answer: Some(Served { kind, length, body }), ..ended })
     }
@@ -635,7 +624,7 @@
         let dial = held.local_addr().expect("an address").to_string();
         let host = serde_json::json!({"host": "s", "dial": dial, "site": "a", "health": "up"});
         let list = serde_json::json!({"seq": 1, "whole": true, "hosts": [host]});
-        let list = crate::renderers::discovery::parse_list(&list).expect("a list");
+        let list = crate::list::parse_list(&list).expect("a list");
         let wait = Duration::from_secs(10);
         for (places, outcome) in [(0, Outcome::NotSent), (1, Outcome::ConnectFailed)] {
             let budget = Rc::new(Budget::of(32, false));
--- a/agent/src/staff/operator.rs
+++ b/agent/src/staff/operator.rs
@@ -1,7 +1,7 @@
 //! The second address, for the operators' staff: one line a connection, one answer. It reads the call and words
-//! the answer; what a call means is the driver's and the decisions' to say.
+//! the answer; what a call means is [`Staff`]'s to say.
 
-use crate::driver::Driver;
+use super::words::Staff;
 use crate::log::log_line;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -29,7 +29,7 @@
 
 /// Listens there for as long as the agent runs. An address that is not to be had costs no client its service: it is
 /// asked for again until it is.
-pub async fn listen(driver: Rc<Driver>, address: SocketAddr) {
+pub async fn listen(staff: Rc<Staff>, address: SocketAddr) {
     let mut told = false;
     let listener = loop {
         match TcpListener::bind(address).await {
@@ -53,13 +53,13 @@
         if callers.len() >= CALLERS_MOST {
             callers.pop_front().inspect(|oldest| oldest.abort());
         }
-        callers.push_back(tokio::task::spawn_local(caller(driver.clone(), stream)));
+        callers.push_back(tokio::task::spawn_local(caller(staff.clone(), stream)));
     }
 }
 
-async fn caller(driver: Rc<Driver>, mut stream: TcpStream) {
+async fn caller(staff: Rc<Staff>, mut stream: TcpStream) {
     let answer = match timeout(LINE_WAIT, line(&mut stream)).await {
-        Ok(Some(Ok(call))) => answer(&driver, &call),
+        Ok(Some(Ok(call))) => answer(&staff, &call),
         Ok(Some(Err(why))) => format!("error {why}\n"),
         Ok(None) => return,
         Err(_) => "error no whole line in time\n".to_owned(),
@@ -98,13 +98,13 @@
 }
 
 /// The answer to a call, whole.
-fn answer(driver: &Rc<Driver>, call: &str) -> String {
+fn answer(staff: &Rc<Staff>, call: &str) -> String {
     let words: Vec<&str> = call.split_whitespace().collect();
     let answer = match words[..] {
-        ["health"] if driver.serves() => Ok("done".to_owned()),
+        ["health"] if staff.serves() => Ok("done".to_owned()),
         ["health"] => Err("no clients are taken yet".to_owned()),
-        ["counters"] => return format!("{}\nend\n", driver.figures()),
-        [call @ ("cordon" | "uncordon"), id] => match driver.cordon(id, call == "cordon") {
+        ["counters"] => return format!("{}\nend\n", staff.counters()),
+        [call @ ("cordon" | "uncordon"), id] => match staff.cordon(id, call == "cordon") {
             Ok(true) => Ok("done".to_owned()),
             Ok(false) => Err(format!("no renderer {id:.80}")),
             Err(why) => Err(format!("it holds in this process alone, an upgrade would forget it: {why}")),
--- /dev/null
+++ b/agent/src/staff/words.rs
@@ -0,0 +1,90 @@
+//! What the staff's calls mean, and what outlives a process of what they said.
+
+use crate::driver::Driver;
+use crate::figures;
+use crate::log::log_line;
+use crate::peers::handover::{self, Cordons, Word};
+use micasail::Time;
+use std::cell::RefCell;
+use std::io;
+use std::path::PathBuf;
+use std::rc::Rc;
+
+/// What the staff ask and say.
+pub struct Staff {
+    driver: Rc<Driver>,
+    cordons: RefCell<Cordons>,
+    /// Where the processes of this agent leave each other what they know.
+    folder: Option<PathBuf>,
+}
+
+impl Staff {
+    /// Takes in what has been said to another process of this agent.
+    pub fn new(driver: Rc<Driver>, folder: Option<PathBuf>) -> Rc<Self> {
+        let cordons = RefCell::new(Cordons::new(folder.clone()));
+        let staff = Staff { driver, cordons, folder };
+        staff.look();
+        Rc::new(staff)
+    }
+
+    /// Whether this process takes clients.
+    pub fn serves(&self) -> bool {
+        self.driver.serves()
+    }
+
+    /// The figures as the operators read them.
+    pub fn counters(&self) -> serde_json::Value {
+        let fleet = self.driver.fleet();
+        figures::report(&self.driver.counts(), &self.driver.names.classes, fleet.listed, fleet.avoided)
+    }
+
+    /// Takes a server out of use for the operators, or brings it back; false if nobody has had that name. An error
+    /// means that this process does so, and that one that takes over will not know.
+    pub fn cordon(&self, name: &str, out: bool) -> io::Result<bool> {
+        self.look();
+        let mut cordons = self.cordons.borrow_mut();
+        if !cordons.knows(name) && self.driver.server(name).is_none() {
+            return Ok(false);
+        }
+        if cordons.out(name) != out {
+            self.pass_on(name, Word { out, at: self.driver.clock.now().0 });
+            cordons.say(name, out)?;
+        }
+        Ok(true)
+    }
+
+    /// Takes in what the operators have said to another process of this agent.
+    pub fn look(&self) {
+        for (name, word) in self.cordons.borrow_mut().look() {
+            self.pass_on(&name, word);
+        }
+    }
+
+    fn pass_on(&self, name: &str, word: Word) {
+        log_line!("operators: {name:.80} is {}", if word.out { "cordoned" } else { "back" });
+        self.driver.cordon(name, word.out, Time(word.at));
+    }
+
+    /// Begins with what the process beside this one has learned, if it has left that in the folder.
+    pub fn learn(&self) {
+        let server = |name: &str| self.driver.server(name);
+        let Some(lessons) = self.folder.as_ref().and_then(|folder| handover::lessons(folder, server)) else {
+            return;
+        };
+        log_line!("handover: begins with what was learned of {} servers", lessons.servers.len());
+        self.driver.learn(lessons);
+    }
+
+    /// Leaves what has been learned there, once there is something.
+    pub fn keep_learned(&self) {
+        let Some(folder) = &self.folder else { return };
+        let lessons = self.driver.lessons();
+        if lessons.servers.iter().all(|lesson| lesson.samples == 0) {
+            return;
+        }
+        let name = |server| Some(self.driver.name(server)).filter(|name| !name.is_empty());
+        if let Err(why) = handover::keep(folder, lessons, name) {
+            log_line!("handover: what was learned is not kept: {why}");
+        }
+    }
+}
--- a/agent/src/traffic/body.rs
+++ b/agent/src/traffic/body.rs
@@ -2,7 +2,6 @@
 //! next when the last has been taken, and what is held of all of them together stays within one budget.
 
 use crate::figures::{End, Taken};
-use crate::renderers::upstream::Lease;
 use crate::traffic::pace::{Asked, Patience};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -83,6 +82,9 @@
     }
 }
 
+/// Gives the connection of an answer back after its last byte; dropped unused, it ends the connection.
+pub type GiveBack = Box<dyn FnOnce()>;
+
 /// An answer as the client gets it.
 pub struct Reply {
     first: VecDeque<Bytes>,
@@ -95,8 +97,8 @@
 /// The part of an answer that its backend has still to send.
 struct Flow {
     body: Incoming,
-    /// Its connection, which is used again after a whole answer and ends with a broken one.
-    lease: Lease,
+    /// Its connection is used again after a whole answer and ends with a broken one.
+    give_back: GiveBack,
     /// Its request, which ends with it.
     taken: Option<Taken>,
     /// Who is told if it breaks off.
@@ -112,9 +114,9 @@
     }
 
     /// An answer that has begun.
-    pub fn begun(first: VecDeque<Bytes>, body: Incoming, lease: Lease, hold: Hold) -> Self {
+    pub fn begun(first: VecDeque<Bytes>, body: Incoming, give_back: GiveBack, hold: Hold) -> Self {
         let stall = Box::pin(sleep(STALL));
-        let flow = Flow { body, lease, taken: None, broke: None, stall };
+        let flow = Flow { body, give_back, taken: None, broke: None, stall };
         Reply { first, flow: Some(flow), _hold: Some(hold), asked: None }
     }
 
@@ -148,7 +150,7 @@
             taken.end(end);
         }
         match end {
-            End::Served => flow.lease.give_back(),
+            End::Served => (flow.give_back)(),
             _ => flow.broke.into_iter().for_each(|broke| broke()),
         }
     }
--- /dev/null
+++ b/agent/tests/layers.rs
@@ -0,0 +1,79 @@
+//! The agent's files use each other in one direction.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+
+/// Each layer of `src`, the lowest first; a file may use what stands before its own layer, and its own folder's files
+/// that stand before it.
+const LAYERS: [&str; 20] = [
+    "list",
+    "figures",
+    "log",
+    "config",
+    "traffic/pace",
+    "traffic/body",
+    "renderers/upstream",
+    "renderers/discovery",
+    "peers/handover",
+    "driver/queue",
+    "driver/servers",
+    "driver/requests",
+    "driver",
+    "application/server",
+    "staff/words",
+    "staff/operator",
+    "process",
+    "lib",
+    "main",
+    "",
+];
+
+fn sources(folder: &Path, under: &str, found: &mut BTreeMap<String, String>) {
+    for entry in std::fs::read_dir(folder).expect("a folder") {
+        let path = entry.expect("an entry").path();
+        let name = path.file_stem().and_then(|name| name.to_str()).expect("a name").to_owned();
+        let full = if under.is_empty() { name.clone() } else { format!("{under}/{name}") };
+        if path.is_dir() {
+            sources(&path, &full, found);
+        } else {
+            let text = std::fs::read_to_string(&path).expect("text");
+            let full = if name == "mod" { under.to_owned() } else { full };
+            // What a test uses is no layer's business.
+            found.insert(full, text.split("#[cfg(test)]").next().unwrap_or_default().to_owned());
+        }
+    }
+}
+
+#[test]
+fn no_file_uses_one_that_stands_above_it() {
+    let mut files = BTreeMap::new();
+    sources(&Path::new(env!("CARGO_MANIFEST_DIR")).join("src"), "", &mut files);
+    let place = |file: &str| LAYERS.iter().position(|layer| *layer == file);
+    let mut uses = 0;
+    for (file, text) in &files {
+        // A folder's own file that only names its parts has no place of its own.
+        let names_parts = text.lines().all(|line| {
+            line.is_empty() || ["//!", "pub mod ", "mod "].iter().any(|start| line.starts_with(start))
+        });
+        let Some(own) = place(file) else {
+            assert!(names_parts, "{file} has no place among the layers");
+            continue;
+        };
+        let folder = file.rsplit_once('/').map_or("", |(folder, _)| folder);
+        let used = text.match_indices("crate::").map(|(at, found)| (String::new(), at + found.len()));
+        let beside =
+            text.match_indices("super::").map(|(at, found)| (format!("{folder}/"), at + found.len()));
+        for (under, at) in used.chain(beside) {
+            let end = |c: char| !(c.is_alphanumeric() || c == '_' || c == ':');
+            let path = text[at..].split(end).next().unwrap_or_default().replace("::", "/");
+            let path = format!("{under}{path}");
+            let longest = path.match_indices('/').map(|(end, _)| &path[..end]).chain([&path[..]]);
+            let Some(other) = longest.filter_map(place).next_back() else {
+                panic!("{file} uses {path}, which is no layer")
+            };
+            assert!(other < own, "{file} uses {path}, which stands above it");
+            uses += 1;
+        }
+    }
+    assert!(uses > 30, "only {uses} uses were found: the test no longer reads the files right");
+}
