Read the fleet file strictly, and check all that a start would read

`bellcroft check` reads what a start would (configuration, fleet file, inherited listener) and says what it would do, exit 0, or the one line of what is wrong, exit 2; without arguments it serves as before. PROXY_FLEET names a TOML file with [fleet], [regions], [shared] and [limits]; each error names file, key and value. SIGHUP reads it again and takes all or nothing, with what changed in the log; a name, address or state folder that changes is refused, and so is a file whose last line has no end.

Tried between processes: a torn file, a foreign name, two signals at once, one while the agent ends (a request that is out then is still answered). The way not taken: serde's own errors, which name a line but not key and value.

--- a/agent/src/config/mod.rs
+++ b/agent/src/config/mod.rs
@@ -1,5 +1,7 @@
 //! What the agent is told at its start: the `PROXY_*` variables and the file that `PROXY_CONFIG` names.
 
+pub mod fleet;
+
 use crate::list::{self, List};
 use micasail::Settings;
 use micasail_settings::{Names, Params};
--- a/agent/src/lib.rs
+++ b/agent/src/lib.rs
@@ -3,9 +3,12 @@
 //!
 //! Each layer uses only those before it: the list, the figures, the log and the configuration; what both sides share
 //! (`traffic`); the renderers and other processes (`renderers`, `peers`); the `driver`, which carries out what the module
-//! decides; the application's and the staff's side; and the process that holds them together.
+//! decides; the application's and the staff's side; the process that holds them together; the
+//! command line.
 
 mod application;
+mod check;
+pub mod cli;
 mod config;
 mod driver;
 mod figures;
@@ -16,5 +19,3 @@
 mod renderers;
 mod staff;
 mod traffic;
-
-pub use process::run;
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -1,13 +1,7 @@
-//! The program: what it is told on its command line, and its exit code.
+//! The program; what it can do is [`bellcroft::cli`]'s to say.
 
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    match bellcroft::run() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(why) => {
-            eprintln!("bellcroft: {why}");
-            ExitCode::from(2)
-        }
-    }
+    bellcroft::cli::run(std::env::args_os())
 }
--- a/agent/src/process.rs
+++ b/agent/src/process.rs
@@ -1,12 +1,14 @@
 //! One process of the agent, from its start to its last answer.
 
 use crate::application::server::{self, Server};
+use crate::config::fleet::Fleet;
 use crate::config::Config;
 use crate::driver::Driver;
 use crate::log::log_line;
 use crate::peers::handover;
 use crate::staff::operator;
 use crate::staff::words::Staff;
+use micasail_settings::Names;
 use std::path::PathBuf;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -23,20 +25,44 @@
 /// Answers that are decided are written within this.
 const FLUSH: Duration = Duration::from_millis(30);
 
+/// What a process goes by from its start.
+pub struct Start {
+    /// A listener that it takes over.
+    pub held: Option<std::net::TcpListener>,
+    /// The platform's configuration.
+    pub config: Config,
+    /// The fleet file, if there is one.
+    pub fleet: Option<Fleet>,
+}
+
+impl Start {
+    /// Reads all of it; the error is one line for a person.
+    pub fn read(var: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
+        // Before anything is opened that could take the descriptor's number.
+        let held = handover::listener(&var)?;
+        let config = Config::load(&var)?;
+        let fleet = fleet_file(&var).map(|file| Fleet::read(&file, &config.names)).transpose()?;
+        Ok(Start { held, config, fleet })
+    }
+}
+
+fn fleet_file(var: &impl Fn(&str) -> Option<String>) -> Option<PathBuf> {
+    var("PROXY_FLEET").filter(|file| !file.is_empty()).map(PathBuf::from)
+}
+
 /// Reads what this process is told at its start, and serves until it is told to end. The error is one line.
 pub fn run() -> Result<(), String> {
-    // Before anything is opened that could take the descriptor's number.
-    let held = handover::listener(|name| std::env::var(name).ok())?;
-    let config = Config::load(|name| std::env::var(name).ok())?;
+    let start = Start::read(|name| std::env::var(name).ok())?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|e| format!("cannot start the runtime: {e}"))?;
-    tokio::task::LocalSet::new().block_on(&runtime, serve(config, held))
+    tokio::task::LocalSet::new().block_on(&runtime, serve(start))
 }
 
 /// Serves until SIGTERM, and then until all that came is answered.
-async fn serve(config: Config, held: Option<std::net::TcpListener>) -> Result<(), String> {
+async fn serve(start: Start) -> Result<(), String> {
+    let Start { held, config, mut fleet } = start;
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("cannot await SIGTERM: {e}"))?;
     let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("cannot await SIGHUP: {e}"))?;
     let listen = config.listen;
@@ -91,14 +117,19 @@
     loop {
         tokio::select! {
             _ = term.recv() => break,
-            _ = hangup.recv() => match Config::discovery_now(|name| std::env::var(name).ok()) {
-                Ok(discovery) => {
-                    log_line!("{name}: discovery is at {discovery} now");
-                    driver.discovery_moved(discovery);
+            _ = hangup.recv() => {
+                match Config::discovery_now(|name| std::env::var(name).ok()) {
+                    Ok(discovery) => {
+                        log_line!("{name}: discovery is at {discovery} now");
+                        driver.discovery_moved(discovery);
+                    }
+                    // What was known still stands: a bad file must not end a running agent.
+                    Err(why) => log_line!("{name}: the new configuration is not taken: {why}"),
                 }
-                // What was known still stands: a bad file must not end a running agent.
-                Err(why) => log_line!("{name}: the new configuration is not taken: {why}"),
-            },
+                if let Some(fleet) = &mut fleet {
+                    take_fleet(&name, fleet, &driver.names);
+                }
+            }
             // Without its clock the agent would take requests and answer none: better that it ends and is
             // restarted.
             _ = &mut driven => return Err("the decisions have stopped".into()),
@@ -127,3 +158,16 @@
     log_line!("{name}: all is answered");
     Ok(())
 }
+
+/// Takes the fleet file as it is now, all of it or nothing, and says what changed.
+fn take_fleet(name: &str, fleet: &mut Fleet, names: &Names) {
+    let new = Fleet::read(&fleet.file, names).and_then(|new| Ok((fleet.changes(&new)?, new)));
+    match new {
+        Ok((changes, new)) => {
+            let changes = if changes.is_empty() { "nothing changed".to_owned() } else { changes.join("; ") };
+            log_line!("{name}: the fleet file is read again: {changes}");
+            *fleet = new;
+        }
+        Err(why) => log_line!("{name}: the new fleet file is not taken, what was known stands: {why}"),
+    }
+}
--- a/agent/tests/common/mod.rs
+++ b/agent/tests/common/mod.rs
@@ -12,6 +12,7 @@
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 use tokio::process::{Child, Command};
+use tokio::sync::mpsc;
 
 /// The real program.
 pub struct Agent {
@@ -19,6 +20,7 @@
     /// Its second address, if it was given one.
     pub operator: Option<SocketAddr>,
     pub child: Child,
+    log: mpsc::UnboundedReceiver<String>,
     file: PathBuf,
 }
 
@@ -70,8 +72,13 @@
         }
         let address = address.expect("bound above");
         // Someone must read on, or a full pipe would stop the agent.
-        tokio::spawn(async move { while let Ok(Some(_)) = log.next_line().await {} });
-        Agent { address, operator, child, file }
+        let (tell, told) = mpsc::unbounded_channel();
+        tokio::spawn(async move {
+            while let Ok(Some(line)) = log.next_line().await {
+                let _ = tell.send(line);
+            }
+        });
+        Agent { address, operator, child, log: told, file }
     }
 
     pub async fn client(&self) -> Client {
@@ -112,6 +119,23 @@
         .await;
     }
 
+    /// The next line of the log with this in it.
+    pub async fn says(&mut self, what: &str) -> String {
+        soon(what, async {
+            loop {
+                let line = self.log.recv().await.expect("the agent runs");
+                if line.contains(what) {
+                    return line;
+                }
+            }
+        })
+        .await
+    }
+
+    pub async fn hang_up(&self) {
+        self.signal("-HUP").await;
+    }
+
     pub async fn term(&self) {
         self.signal("-TERM").await;
     }
@@ -119,7 +143,7 @@
     /// Replaces the configuration by this text and says so.
     pub async fn reconfigure(&self, text: &str) {
         std::fs::write(&self.file, text).expect("a file");
-        self.signal("-HUP").await;
+        self.hang_up().await;
     }
 
     async fn signal(&self, signal: &str) {
--- a/agent/tests/layers.rs
+++ b/agent/tests/layers.rs
@@ -5,10 +5,11 @@
 
 /// Each layer of `src`, the lowest first; a file may use what stands before its own layer, and its own folder's files
 /// that stand before it.
-const LAYERS: [&str; 20] = [
+const LAYERS: [&str; 22] = [
     "list",
     "figures",
     "log",
+    "config/fleet",
     "config",
     "traffic/pace",
     "traffic/body",
@@ -23,9 +24,10 @@
     "staff/words",
     "staff/operator",
     "process",
+    "check",
+    "cli",
     "lib",
     "main",
-    "",
 ];
 
 fn sources(folder: &Path, under: &str, found: &mut BTreeMap<String, String>) {
