Write the log with tracing, by fields, through a thread of its own

Now every line is an event with level, target and fields (request, class, outcome, server, zone, took_ms, of_ms, sent, tried), text by default, JSON by PROXY_LOG=json, filtered by PROXY_LOG_FILTER. The bound on request lines stays at 20 a second; all lines together have one of 200; what is left out is counted in the five-second line. Bad requests are logged and counted as well. The module's words name their server, so the line for every number of a server is debug now.

A thread writes; 1,024 lines may wait, more are dropped and counted. Ruled out: tracing-appender (waits 1.1 s for a reader at the end, prints to standard output) and a per-layer filter for the bound (one that says no at event_enabled breaks tracing-subscriber 0.3.23's own state; its assertion fails).

--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -279,7 +279,7 @@
             }
             Action::Follow { active } => Outgoing::Follow { active },
             Action::FetchList => Outgoing::Pull {},
-            Action::Log { text } => Outgoing::NoteDown { what: text },
+            Action::Log { text, .. } => Outgoing::NoteDown { what: text },
         }
     }
 
--- a/agent/src/application/server.rs
+++ b/agent/src/application/server.rs
@@ -163,7 +163,17 @@
                 plain(StatusCode::SERVICE_UNAVAILABLE, "not ready")
             });
         }
-        let arrival = self.read(request, patience).await?;
+        let name = request.headers().get("x-request-id").cloned();
+        let arrival = match self.read(request, patience).await {
+            Ok(arrival) => arrival,
+            Err(bad) => {
+                let why =
+                    bad.body().as_whole().and_then(|why| std::str::from_utf8(why).ok()).unwrap_or_default();
+                let name = name.as_ref().and_then(|name| name.to_str().ok()).unwrap_or_default();
+                self.driver.turned_away(name, bad.status(), why.trim_end());
+                return Err(bad);
+            }
+        };
         let (deadline, wait, intake) = (arrival.deadline, arrival.wait(), arrival.intake().cloned());
         let (id, answer) = self.driver.submit(arrival);
         // When the client leaves, hyper drops this future, and the guard tells the balancer.
--- a/agent/src/check.rs
+++ b/agent/src/check.rs
@@ -5,7 +5,7 @@
 
 /// What a start would do with this, in lines.
 pub fn describe(start: &Start) -> String {
-    let Start { held, config, fleet } = start;
+    let Start { held, config, fleet, log } = start;
     let mut text = String::new();
     // Writing to a string cannot fail.
     let _ = writeln!(text, "agent {}", config.name);
@@ -33,6 +33,7 @@
             let _ = writeln!(text, "  {what}: {}", names.join(", "));
         }
     }
+    let _ = writeln!(text, "log as {log}");
     match fleet {
         None => text.push_str("no fleet file: an agent alone\n"),
         Some(fleet) => {
--- a/agent/src/cli.rs
+++ b/agent/src/cli.rs
@@ -25,6 +25,9 @@
   PROXY_FLEET       the fleet file, TOML; without it the agent is alone
   PROXY_LISTEN, PROXY_DISCOVERY, PROXY_OPERATOR, PROXY_NAME
                     win over the same entries of the configuration
+  PROXY_LOG         text (the default) or json
+  PROXY_LOG_FILTER  what is logged: a level, or TARGET=LEVEL with commas between; info by default. Targets are
+                    process, request, counts, decisions, discovery, handover and staff
   PROXY_LISTEN_FD   the descriptor of a listener to take over
 
 Exit: 0 all was answered or all is well; 2 the one line on standard error says what is wrong.";
--- a/agent/src/driver/mod.rs
+++ b/agent/src/driver/mod.rs
@@ -10,7 +10,7 @@
 use crate::config::Config;
 use crate::figures::{Counts, Figures};
 use crate::list::List;
-use crate::log::{log_line, Log, Tried};
+use crate::log::{Log, Tried};
 use crate::renderers::discovery::{Discovery, News};
 use crate::renderers::upstream::{Ended, Progress, Upstream};
 use crate::traffic::body::{Budget, Step};
@@ -236,6 +236,12 @@
         self.pump();
     }
 
+    /// A request made no sense and has been answered so.
+    pub fn turned_away(&self, request: &str, status: StatusCode, why: &str) {
+        self.figures.bad();
+        self.state.borrow_mut().requests.turned_away(request, status, why);
+    }
+
     /// News of discovery; `None` for a call that failed.
     pub fn listed(self: &Rc<Self>, list: Option<List>) {
         let update = {
@@ -293,7 +299,7 @@
     fn write_counts(&self) {
         let mut state = self.state.borrow_mut();
         if let Some(counts) = state.requests.log.counts(Instant::now(), &self.figures) {
-            log_line!("{counts}; connections {}; {}", self.upstream.held(), state.queue.balancer.summary());
+            counts.write(self.upstream.held(), &state.queue.balancer.summary());
         }
     }
 
@@ -338,7 +344,11 @@
             Action::FetchList => state.discovery.fetch(&self.news()),
             // Agents of this deployment have no way to talk to each other, and the settings say so.
             Action::Tell { .. } => {}
-            Action::Log { text } => log_line!("{text}"),
+            Action::Log { server, text } => {
+                let (server, zone) =
+                    server.map_or(("", ""), |s| (state.servers.name(s), state.servers.zone(s)));
+                tracing::warn!(target: "decisions", server, zone, "{text}");
+            }
         }
     }
 
@@ -383,13 +393,17 @@
             if let Some(served) = ended.answer {
                 let driver = self.clone();
                 let broke = move || driver.broke(server);
-                state.requests.serve(key.0, served, broke, &self.names);
+                let state = &mut *state;
+                let by = (state.servers.name(server), state.servers.zone(server));
+                state.requests.serve(key.0, served, broke, &self.names, by);
             }
             let state = &mut *state;
             if let Some(open) = state.requests.open.get_mut(&key.0) {
-                let server = state.servers.name(server).to_owned();
+                let (server, zone) =
+                    (state.servers.name(server).to_owned(), state.servers.zone(server).to_owned());
                 open.tried.push(Tried {
                     server,
+                    zone,
                     outcome: ended.outcome,
                     status: ended.status,
                     idled: ended.idled,
@@ -417,7 +431,8 @@
             let mut state = self.state.borrow_mut();
             if state.requests.log.room(Instant::now()) {
                 let name = state.servers.name(server);
-                log_line!("an answer of {name} broke off on its way to the client");
+                let zone = state.servers.zone(server);
+                tracing::warn!(target: "request", server = name, zone, "an answer broke off on its way to the client");
             }
             state.queue.push(Event::Broke { server });
         }
--- a/agent/src/driver/requests.rs
+++ b/agent/src/driver/requests.rs
@@ -1,7 +1,7 @@
 //! Requests that are owed an answer, and their attempts that are out.
 
 use crate::figures::{End, Taken};
-use crate::log::{self, log_line, Log, Tried};
+use crate::log::{self, Log, Tried};
 use crate::renderers::upstream::{Progress, Served};
 use crate::traffic::body::{Hold, Intake, Outgoing};
 use bytes::Bytes;
@@ -119,7 +119,7 @@
     pub fn gone(&mut self, id: RequestId, names: &Names) -> bool {
         let Some(open) = self.open.remove(&id) else { return false };
         self.stop_unwritten(id, open.taken.sends);
-        self.note(&open, End::Gone, names);
+        self.note(&open, End::Gone, names, None);
         true
     }
 
@@ -129,7 +129,7 @@
         let Some(open) = self.open.remove(&id) else { return };
         self.stop_unwritten(id, open.taken.sends);
         let end = if matches!(answer, Answer::Refused(_)) { End::Refused } else { End::Failed };
-        self.note(&open, end, names);
+        self.note(&open, end, names, None);
         open.taken.end(end);
         // A client that left at this very moment hears nothing.
         let _ = open.answer.send(answer);
@@ -142,38 +142,60 @@
         mut served: Served,
         broke: impl FnOnce() + 'static,
         names: &Names,
+        by: (&str, &str),
     ) {
         let Some(open) = self.open.remove(&id) else { return };
         self.stop_unwritten(id, open.taken.sends);
-        self.note(&open, End::Served, names);
+        self.note(&open, End::Served, names, Some(by));
         served.body.ends(open.taken, broke);
         let _ = open.answer.send(Answer::Served(Box::new(served)));
     }
 
-    /// Logs a request that did not go well under the application's name for it.
-    fn note(&mut self, open: &Open, end: End, names: &Names) {
+    /// Logs a request that did not go well under the application's name for it; `by` is the server that served it.
+    fn note(&mut self, open: &Open, end: End, names: &Names, by: Option<(&str, &str)>) {
         let now = Instant::now();
         let Open { parts, taken, tried, .. } = open;
         // Served at last is worth a line too, if only after an attempt that was lost.
         if (matches!(end, End::Served) && tried.is_empty()) || !self.log.room(now) {
             return;
         }
-        let how = match end {
-            End::Served => "served",
-            End::Refused => "refused",
-            End::Failed => "failed",
-            End::Gone => "gone",
-        };
-        let ms = |time: Duration| time.as_secs_f64() * 1e3;
-        log_line!(
-            "request {:.64} {} {how} after {:.1} of {:.1} ms, sent {}:{}",
-            parts.name,
-            names.classes.get(parts.class.0).map_or("", String::as_str),
-            ms(now.saturating_duration_since(parts.came)),
-            ms(parts.deadline.saturating_duration_since(parts.came)),
-            taken.sends,
-            log::attempts(tried),
-        );
+        let last = || tried.last().map_or(("", ""), |tried| (tried.server.as_str(), tried.zone.as_str()));
+        let (server, zone) = by.unwrap_or_else(last);
+        let class = names.classes.get(parts.class.0).map_or("", String::as_str);
+        let ms = |time: Duration| (time.as_secs_f64() * 1e4).round() / 10.0;
+        let took_ms = ms(now.saturating_duration_since(parts.came));
+        let of_ms = ms(parts.deadline.saturating_duration_since(parts.came));
+        macro_rules! line {
+            ($level:ident, $outcome:literal) => {
+                tracing::$level!(
+                    target: "request",
+                    request = format_args!("{:.64}", parts.name),
+                    class,
+                    outcome = $outcome,
+                    server,
+                    zone,
+                    took_ms,
+                    of_ms,
+                    sent = taken.sends,
+                    tried = log::attempts(tried),
+                    $outcome
+                )
+            };
+        }
+        match end {
+            End::Served => line!(info, "served"),
+            End::Refused => line!(warn, "refused"),
+            End::Failed => line!(warn, "failed"),
+            End::Gone => line!(warn, "gone"),
+        }
+    }
+
+    /// Logs a request that made no sense and was turned away.
+    pub fn turned_away(&mut self, request: &str, status: StatusCode, why: &str) {
+        if self.log.room(Instant::now()) {
+            let status = status.as_u16();
+            tracing::warn!(target: "request", request = format_args!("{request:.64}"), outcome = "turned away", status, "{why}");
+        }
     }
 
     fn stop_unwritten(&self, id: RequestId, sends: u32) {
--- a/agent/src/driver/servers.rs
+++ b/agent/src/driver/servers.rs
@@ -1,16 +1,21 @@
 //! The servers by name and number, and the list in the balancer's terms.
 
 use crate::list::{Health, Host, List};
-use crate::log::log_line;
 use micasail::{CellId, KindId, Listed, ServerId, Status, Time, ZoneId};
 use micasail_settings::{fnv1a, Names};
 use std::collections::{HashMap, HashSet};
 
+/// How a server is called, and where it stands by the list.
+struct Known {
+    name: String,
+    zone: String,
+}
+
 /// What is known of the servers by the list.
 #[derive(Default)]
 pub struct Servers {
     ids: HashMap<String, ServerId>,
-    names: HashMap<ServerId, String>,
+    known: HashMap<ServerId, Known>,
     /// Servers that the list says are up.
     up: HashSet<ServerId>,
     /// The version of the list.
@@ -30,7 +35,12 @@
 
     /// A server's name.
     pub fn name(&self, server: ServerId) -> &str {
-        self.names.get(&server).map_or("", String::as_str)
+        self.known.get(&server).map_or("", |known| &known.name)
+    }
+
+    /// A server's zone, as the list names it.
+    pub fn zone(&self, server: ServerId) -> &str {
+        self.known.get(&server).map_or("", |known| &known.zone)
     }
 
     /// Takes in a list: where its servers are reached is for `describe`, and the rest is put in the balancer's terms.
@@ -47,6 +57,9 @@
         }
         for host in &list.hosts {
             let server = self.intern(&host.name);
+            if let Some(known) = self.known.get_mut(&server).filter(|known| known.zone != host.site) {
+                known.zone.clone_from(&host.site);
+            }
             describe(server, host);
             let status = match host.health {
                 Health::Up => Status::Serving,
@@ -78,11 +91,11 @@
             return *id;
         }
         let mut id = fnv1a(name) as u32;
-        while self.names.contains_key(&ServerId(id)) {
+        while self.known.contains_key(&ServerId(id)) {
             id = id.wrapping_add(1);
         }
-        log_line!("server {id} is {name}");
-        self.names.insert(ServerId(id), name.to_owned());
+        tracing::debug!(target: "discovery", "server {id} is {name}");
+        self.known.insert(ServerId(id), Known { name: name.to_owned(), zone: String::new() });
         self.ids.insert(name.to_owned(), ServerId(id));
         ServerId(id)
     }
--- a/agent/src/figures.rs
+++ b/agent/src/figures.rs
@@ -42,6 +42,8 @@
     pub gone: u64,
     /// Attempts written whole to a backend.
     pub sends: u64,
+    /// Requests that made no sense; they are not among the taken ones.
+    pub bad: u64,
     /// Attempts by their outcome.
     pub outcomes: [u64; OUTCOMES],
 }
@@ -89,6 +91,11 @@
         self.0.borrow_mut().sends += 1;
     }
 
+    /// A request made no sense.
+    pub fn bad(&self) {
+        self.0.borrow_mut().bad += 1;
+    }
+
     /// An attempt has ended.
     pub fn attempt(&self, outcome: Outcome) {
         self.0.borrow_mut().outcomes[outcome as usize % OUTCOMES] += 1;
--- a/agent/src/log.rs
+++ b/agent/src/log.rs
@@ -1,31 +1,181 @@
 //! What the agent writes of its service: a line for a request that did not go well, and a count of everything
 //! every few seconds. Both are bounded, so that a bad day cannot drown the log or the core in them.
+//!
+//! Lines go to standard error through a thread of their own. Where nobody reads them they are dropped and counted, and
+//! no request waits. The way not taken is `tracing-appender`: it waits over a second for a reader at the end of the
+//! process and says so on standard output.
 
 use crate::figures::{Counts, Ends, Figures, OUTCOMES};
 use hyper::StatusCode;
 use micasail::{Outcome, Span};
-use std::fmt::Write;
+use std::fmt::{self, Write as _};
+use std::io::{self, Write};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering::Relaxed};
+use std::sync::mpsc::{sync_channel, SyncSender};
+use std::sync::Arc;
 use tokio::time::{Duration, Instant};
+use tracing::Event;
+use tracing_subscriber::filter::Targets;
+use tracing_subscriber::fmt::MakeWriter;
+use tracing_subscriber::layer::{Context, SubscriberExt};
+use tracing_subscriber::{Layer, Registry};
 
 /// Lines on single requests within a second; the rest are only counted.
 const LINES_MOST: u32 = 20;
+/// Lines of all kinds within a second; those of a start with many renderers are no more.
+const ALL_MOST: u32 = 200;
+/// Lines that wait for a slow reader; more are dropped.
+const WAITING_MOST: usize = 1024;
+/// How long the end of the process waits for its last lines to be taken.
+const LAST_WORDS: Duration = Duration::from_millis(200);
 /// How often the counts are written.
 const PERIOD: Duration = Duration::from_secs(5);
 
-/// Writes one line to the log, whole or not at all, since standard error takes each part of a format as it comes
-/// and a reader would see half of a line. A log that nobody takes must not end the agent.
-macro_rules! log_line {
-    ($($text:tt)*) => {{
-        use std::io::Write as _;
-        let _ = std::io::stderr().write_all(format!("{}\n", format_args!($($text)*)).as_bytes());
-    }};
+/// How the log is written.
+#[derive(Debug, Clone)]
+pub struct Form {
+    json: bool,
+    filter: Targets,
+}
+
+impl Form {
+    /// By `PROXY_LOG` and `PROXY_LOG_FILTER`.
+    pub fn read(var: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
+        let text = |name: &str| var(name).filter(|text| !text.is_empty());
+        let json = match text("PROXY_LOG").as_deref() {
+            None | Some("text") => false,
+            Some("json") => true,
+            Some(other) => return Err(format!("PROXY_LOG is {other:?}; text or json was expected")),
+        };
+        let filter = text("PROXY_LOG_FILTER").unwrap_or_else(|| "info".into());
+        let filter = filter.parse().map_err(|why| {
+            format!("PROXY_LOG_FILTER is {filter:?}; a level or TARGET=LEVEL, with commas between, was expected: {why}")
+        })?;
+        Ok(Form { json, filter })
+    }
+
+    /// Whoever takes the events of this process and writes them there.
+    fn subscriber<W>(&self, writer: W, bound: Bound) -> Box<dyn tracing::Subscriber + Send + Sync>
+    where
+        W: for<'a> MakeWriter<'a> + Send + Sync + 'static,
+    {
+        let lines = tracing_subscriber::fmt::layer().with_ansi(false).with_writer(writer);
+        let bounded = Registry::default().with(self.filter.clone()).with(bound);
+        if self.json {
+            let lines = lines.json().flatten_event(true).with_current_span(false).with_span_list(false);
+            Box::new(bounded.with(lines))
+        } else {
+            Box::new(bounded.with(lines))
+        }
+    }
+
+    /// Writes all events of this process to standard error from now on, until the answer is dropped.
+    pub fn start(&self) -> Result<Written, String> {
+        let (queue, lines) = sync_channel::<Line>(WAITING_MOST);
+        let taker = std::thread::Builder::new().name("log".into()).spawn(move || {
+            for line in lines {
+                match line {
+                    // A log that nobody takes must not end the agent.
+                    Line::Text(text) => drop(io::stderr().write_all(&text)),
+                    Line::Last(told) => drop(told.send(())),
+                }
+            }
+        });
+        taker.map_err(|e| format!("cannot start the log's thread: {e}"))?;
+        let subscriber = self.subscriber(Lines(queue.clone()), Bound::new());
+        tracing::subscriber::set_global_default(subscriber)
+            .map_err(|e| format!("cannot start the log: {e}"))?;
+        Ok(Written(queue))
+    }
+}
+
+impl fmt::Display for Form {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}, {}", if self.json { "json" } else { "text" }, self.filter)
+    }
+}
+
+enum Line {
+    Text(Vec<u8>),
+    Last(SyncSender<()>),
+}
+
+/// The log of a process; at its end the last lines are written, if somebody takes them.
+pub struct Written(SyncSender<Line>);
+
+impl Drop for Written {
+    fn drop(&mut self) {
+        let (tell, told) = sync_channel(1);
+        // With no room nobody reads, and nobody is waited for.
+        if self.0.try_send(Line::Last(tell)).is_ok() {
+            let _ = told.recv_timeout(LAST_WORDS);
+        }
+    }
+}
+
+/// Lines that were left out of the log for the bound, or because nobody took them.
+static LEFT_OUT: AtomicU64 = AtomicU64::new(0);
+
+/// The way to the log's thread. Each line is written whole or not at all.
+#[derive(Clone)]
+struct Lines(SyncSender<Line>);
+
+impl Write for Lines {
+    fn write(&mut self, text: &[u8]) -> io::Result<usize> {
+        if self.0.try_send(Line::Text(text.to_vec())).is_err() {
+            LEFT_OUT.fetch_add(1, Relaxed);
+        }
+        Ok(text.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl<'a> MakeWriter<'a> for Lines {
+    type Writer = Lines;
+
+    fn make_writer(&'a self) -> Lines {
+        self.clone()
+    }
+}
+
+/// Lets a bounded number of lines through each second; the counts are always among them. A layer, and no filter of
+/// one: that one takes part in no later event once it has said no (tracing-subscriber 0.3.23).
+#[derive(Clone)]
+struct Bound(Arc<(Instant, AtomicU64, AtomicU32)>);
+
+impl Bound {
+    fn new() -> Self {
+        Bound(Arc::new((Instant::now(), AtomicU64::new(0), AtomicU32::new(0))))
+    }
+}
+
+impl<S: tracing::Subscriber> Layer<S> for Bound {
+    fn event_enabled(&self, event: &Event<'_>, _: Context<'_, S>) -> bool {
+        if event.metadata().target() == "counts" {
+            return true;
+        }
+        let (start, second, lines) = &*self.0;
+        let now = start.elapsed().as_secs();
+        if second.swap(now, Relaxed) != now {
+            lines.store(0, Relaxed);
+        }
+        let room = lines.fetch_add(1, Relaxed) < ALL_MOST;
+        if !room {
+            LEFT_OUT.fetch_add(1, Relaxed);
+        }
+        room
+    }
 }
-pub(crate) use log_line;
 
 /// An attempt that served nothing, kept while its request is open.
 pub struct Tried {
     /// The server's name in the list.
     pub server: String,
+    /// Its zone.
+    pub zone: String,
     /// How it ended.
     pub outcome: Outcome,
     /// The backend's status, if it came to one.
@@ -38,89 +188,113 @@
     pub took: Span,
 }
 
-/// The figures at the last line, and the room for lines in the present second.
+/// The figures at the last line, and the room for lines on requests in the present second.
 pub struct Log {
     since: Instant,
     second: Instant,
     lines: u32,
-    unwritten: u64,
     before: Counts,
 }
 
 impl Log {
     /// Has written nothing yet.
     pub fn new(now: Instant) -> Self {
-        Log { since: now, second: now, lines: 0, unwritten: 0, before: Counts::default() }
+        Log { since: now, second: now, lines: 0, before: Counts::default() }
     }
 
-    /// Whether one more line fits into the present second.
+    /// Whether one more line on a request fits into the present second.
     pub fn room(&mut self, now: Instant) -> bool {
         if now.saturating_duration_since(self.second) >= Duration::from_secs(1) {
             (self.second, self.lines) = (now, 0);
         }
-        self.lines += 1;
+        self.lines = self.lines.saturating_add(1);
         if self.lines > LINES_MOST {
-            self.unwritten += 1;
+            LEFT_OUT.fetch_add(1, Relaxed);
         }
         self.lines <= LINES_MOST
     }
 
     /// How the figures have moved since the last line, once it is time for that and there is something to tell.
-    pub fn counts(&mut self, now: Instant, figures: &Figures) -> Option<String> {
+    pub fn counts(&mut self, now: Instant, figures: &Figures) -> Option<Moved> {
         if now.saturating_duration_since(self.since) < PERIOD {
             return None;
         }
         let counts = figures.now();
         let before = std::mem::replace(&mut self.before, counts.clone());
-        let unwritten = std::mem::take(&mut self.unwritten);
         self.since = now;
-        let some = counts.taken > before.taken || counts.outcomes != before.outcomes;
-        some.then(|| moved(&counts, &before, unwritten))
-    }
-}
-
-fn moved(counts: &Counts, before: &Counts, unwritten: u64) -> String {
-    let total = |kind: fn(&Ends) -> u64| counts.total(kind) - before.total(kind);
-    let (refused, unsent) = (total(|e| e.refused), counts.refused_unsent - before.refused_unsent);
-    let gone = counts.gone - before.gone;
-    let mut text = format!(
-        "arrived {} served {} refused unsent {unsent} tried {} failed {} gone {gone}; sent whole {}; attempts",
-        counts.taken - before.taken,
-        total(|e| e.served),
-        refused - unsent,
-        total(|e| e.failed) - gone,
-        counts.sends - before.sends,
-    );
-    const NAMES: [Outcome; OUTCOMES] = [
-        Outcome::Success,
-        Outcome::ServerError,
-        Outcome::Rejected,
-        Outcome::TimedOut,
-        Outcome::ConnectFailed,
-        Outcome::ConnectionReset,
-        Outcome::Cancelled,
-        Outcome::NotSent,
-    ];
-    // Writing to a string cannot fail.
-    for outcome in NAMES {
-        let n = counts.outcomes[outcome as usize] - before.outcomes[outcome as usize];
-        if n > 0 {
-            let _ = write!(text, " {outcome:?} {n}");
-        }
-    }
-    let _ = write!(text, "; lines left out {unwritten}");
-    text
+        let some =
+            counts.taken > before.taken || counts.bad > before.bad || counts.outcomes != before.outcomes;
+        some.then_some(Moved { counts, before })
+    }
+}
+
+/// How the figures have moved.
+pub struct Moved {
+    counts: Counts,
+    before: Counts,
+}
+
+impl Moved {
+    /// Writes it, with the connections that are held and the state behind the decisions.
+    pub fn write(&self, connections: usize, state: &str) {
+        let Moved { counts, before } = self;
+        let total = |kind: fn(&Ends) -> u64| counts.total(kind) - before.total(kind);
+        let (refused, unsent) = (total(|e| e.refused), counts.refused_unsent - before.refused_unsent);
+        let gone = counts.gone - before.gone;
+        tracing::info!(
+            target: "counts",
+            arrived = counts.taken - before.taken,
+            served = total(|e| e.served),
+            refused_unsent = unsent,
+            refused_tried = refused - unsent,
+            failed = total(|e| e.failed) - gone,
+            gone,
+            turned_away = counts.bad - before.bad,
+            sent_whole = counts.sends - before.sends,
+            attempts = self.attempts(),
+            left_out = LEFT_OUT.swap(0, Relaxed),
+            connections,
+            "{state}",
+        );
+    }
+
+    fn attempts(&self) -> String {
+        const NAMES: [Outcome; OUTCOMES] = [
+            Outcome::Success,
+            Outcome::ServerError,
+            Outcome::Rejected,
+            Outcome::TimedOut,
+            Outcome::ConnectFailed,
+            Outcome::ConnectionReset,
+            Outcome::Cancelled,
+            Outcome::NotSent,
+        ];
+        let mut text = String::new();
+        for outcome in NAMES {
+            let n = self.counts.outcomes[outcome as usize] - self.before.outcomes[outcome as usize];
+            if n > 0 {
+                // Writing to a string cannot fail.
+                let _ = write!(text, "{}{outcome:?} {n}", if text.is_empty() { "" } else { " " });
+            }
+        }
+        text
+    }
 }
 
 /// The attempts of a request in one short text.
 pub fn attempts(tried: &[Tried]) -> String {
     let mut text = String::new();
-    for Tried { server, outcome, status, idled, why, took } in tried {
+    for Tried { server, outcome, status, idled, why, took, .. } in tried {
         let why = why.as_deref().unwrap_or_default();
         let idled = idled.map_or("fresh".into(), |idled| format!("idle {:.0}", idled.as_secs_f64() * 1e3));
         let status = status.as_ref().map_or("-", StatusCode::as_str);
         // Writing to a string cannot fail.
-        let _ = write!(text, " [{server} {outcome:?} {status} {idled} {:.1} ms {why}]", took.ms());
+        let _ = write!(
+            text,
+            "{}[{server} {outcome:?} {status} {idled} {:.1} ms {why}]",
+            if text.is_empty() { "" } else { " " },
+            took.ms()
+        );
     }
     text
 }
@@ -129,9 +303,49 @@
 mod tests {
     use super::*;
     use crate::figures::End;
+    use std::sync::Mutex;
+
+    /// Keeps what is written.
+    #[derive(Clone, Default)]
+    struct Kept(Arc<Mutex<Vec<u8>>>);
+
+    impl Kept {
+        fn text(&self) -> String {
+            String::from_utf8(self.0.lock().expect("kept").clone()).expect("text")
+        }
+    }
+
+    impl Write for Kept {
+        fn write(&mut self, text: &[u8]) -> io::Result<usize> {
+            self.0.lock().expect("kept").extend_from_slice(text);
+            Ok(text.len())
+        }
+
+        fn flush(&mut self) -> io::Result<()> {
+            Ok(())
+        }
+    }
+
+    impl<'a> MakeWriter<'a> for Kept {
+        type Writer = Kept;
+
+        fn make_writer(&'a self) -> Kept {
+            self.clone()
+        }
+    }
+
+    fn form(log: &str, filter: &str) -> Result<Form, String> {
+        Form::read(|name| Some(if name == "PROXY_LOG" { log } else { filter }.to_owned()))
+    }
+
+    fn said(form: &Form, say: impl FnOnce()) -> String {
+        let kept = Kept::default();
+        tracing::subscriber::with_default(form.subscriber(kept.clone(), Bound::new()), say);
+        kept.text()
+    }
 
     #[test]
-    fn lines_are_bounded_within_a_second_and_what_is_left_out_is_counted() {
+    fn lines_are_bounded_within_a_second_and_counts_tell_how_the_figures_moved() {
         let start = Instant::now();
         let mut log = Log::new(start);
         let written = (0..50).filter(|_| log.room(start)).count();
@@ -144,13 +358,86 @@
         drop(figures.take(0));
         figures.attempt(Outcome::Rejected);
         figures.sent();
-        assert_eq!(log.counts(start, &figures), None);
-        let line = log.counts(start + PERIOD, &figures).expect("a line");
-        assert_eq!(
-            line,
-            "arrived 53 served 1 refused unsent 50 tried 0 failed 1 gone 1; sent whole 1; attempts Rejected 1; \
-             lines left out 30"
-        );
-        assert_eq!(log.counts(start + 2 * PERIOD, &figures), None);
+        figures.bad();
+        assert!(log.counts(start, &figures).is_none());
+        let moved = log.counts(start + PERIOD, &figures).expect("a line");
+        let line = said(&form("", "").expect("a form"), || moved.write(3, "state"));
+        for part in [
+            "INFO counts: state arrived=53 served=1 refused_unsent=50 refused_tried=0 failed=1 gone=1 turned_away=1 \
+             sent_whole=1 attempts=\"Rejected 1\" left_out=",
+            "connections=3",
+        ] {
+            assert!(line.contains(part), "{line}");
+        }
+        assert!(log.counts(start + 2 * PERIOD, &figures).is_none());
+    }
+
+    /// More than that in a second is left out, and the counts are not.
+    #[test]
+    fn a_flood_of_lines_is_bounded() {
+        let text = said(&form("json", "").expect("a form"), || {
+            (0..10 * ALL_MOST).for_each(|n| tracing::warn!(target: "request", n, "flood"));
+            tracing::info!(target: "counts", "here");
+        });
+        let lines: Vec<serde_json::Value> =
+            text.lines().map(|line| serde_json::from_str(line).expect("JSON")).collect();
+        // The second may have turned meanwhile.
+        assert!((ALL_MOST as usize..=2 * ALL_MOST as usize + 1).contains(&lines.len()), "{}", lines.len());
+        assert_eq!(lines[7]["n"], 7);
+        assert_eq!(lines[lines.len() - 1]["target"], "counts");
+    }
+
+    #[test]
+    fn form_and_filter_are_read_strictly() {
+        let some = form("text", "warn,request=debug").expect("a form");
+        let text = said(&some, || {
+            tracing::debug!(target: "request", "one");
+            tracing::info!(target: "process", "two");
+        });
+        assert!(text.contains("DEBUG request: one") && !text.contains("two"), "{text}");
+        assert!(form("xml", "").expect_err("no form").contains("PROXY_LOG is \"xml\""));
+        assert!(form("", "request=loud").expect_err("no level").contains("PROXY_LOG_FILTER"));
+    }
+
+    /// A reader that has stopped: lines are dropped, and whoever writes them does not wait.
+    #[test]
+    fn nobody_waits_for_a_reader() {
+        let (queue, lines) = sync_channel::<Line>(WAITING_MOST);
+        let subscriber = form("", "").expect("a form").subscriber(Lines(queue.clone()), Bound::new());
+        tracing::subscriber::with_default(subscriber, || {
+            // Past the room for waiting lines, one bound at a time.
+            (0..WAITING_MOST + 10).for_each(|n| tracing::info!(target: "counts", n, "line"));
+        });
+        assert_eq!(lines.try_iter().count(), WAITING_MOST);
+        drop(Written(queue));
+    }
+
+    /// What a line on a request costs the core that serves: `cargo test --release -p bellcroft --lib -- --ignored
+    /// --nocapture line_costs`.
+    #[test]
+    #[ignore = "a measurement"]
+    fn what_a_line_costs() {
+        for log in ["text", "json"] {
+            let (queue, lines) = sync_channel::<Line>(WAITING_MOST);
+            let taker = std::thread::spawn(move || lines.iter().count());
+            let subscriber = form(log, "").expect("a form").subscriber(Lines(queue), Bound::new());
+            let n = 100_000;
+            let took = tracing::subscriber::with_default(subscriber, || {
+                let begun = std::time::Instant::now();
+                for n in 0..n {
+                    tracing::warn!(
+                        target: "counts", request = %"r-123456", class = "read", outcome = "failed", server = "s12",
+                        zone = "north", took_ms = 12.5, of_ms = 400.0, sent = n, tried = %"[s12 TimedOut - fresh 300.1 ms]",
+                        "failed"
+                    );
+                }
+                begun.elapsed()
+            });
+            println!(
+                "{log}: {:.0} ns a line, {} taken",
+                took.as_nanos() as f64 / n as f64,
+                taker.join().expect("taken")
+            );
+        }
     }
 }
--- a/agent/src/peers/handover.rs
+++ b/agent/src/peers/handover.rs
@@ -4,7 +4,6 @@
 //! Both run side by side for a while and are one agent, so a call at either has to hold in both. They share a small
 //! file in `$TMPDIR` with the last word on each renderer and its time; the later word wins, whoever wrote it.
 
-use crate::log::log_line;
 use micasail::{Lesson, Lessons, ServerId, Time};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -117,7 +116,7 @@
             Ok(File { form: FORM, words }) => words,
             other => {
                 let why = other.err().unwrap_or_else(|| format!("its form is not {FORM}"));
-                log_line!("handover: {} is not taken: {why}", file.display());
+                tracing::warn!(target: "handover", "{} is not taken: {why}", file.display());
                 return Vec::new();
             }
         };
@@ -128,7 +127,7 @@
         if lost {
             // Both replaced it at once, and this process's word is gone from it.
             if let Err(why) = self.write() {
-                log_line!("handover: {why}");
+                tracing::warn!(target: "handover", "{why}");
             }
         }
         news
@@ -192,8 +191,9 @@
         FORM => Ok(learned),
         form => Err(format!("its form is {form}, not {FORM}")),
     });
-    let learned =
-        read.inspect_err(|why| log_line!("handover: {} is not taken: {why}", file.display())).ok()?;
+    let learned = read
+        .inspect_err(|why| tracing::warn!(target: "handover", "{} is not taken: {why}", file.display()))
+        .ok()?;
     if unix_now().saturating_sub(learned.at) > STALE.as_micros() as u64 {
         return None;
     }
--- a/agent/src/process.rs
+++ b/agent/src/process.rs
@@ -4,7 +4,7 @@
 use crate::config::fleet::Fleet;
 use crate::config::Config;
 use crate::driver::Driver;
-use crate::log::log_line;
+use crate::log;
 use crate::peers::handover;
 use crate::staff::operator;
 use crate::staff::words::Staff;
@@ -33,6 +33,8 @@
     pub config: Config,
     /// The fleet file, if there is one.
     pub fleet: Option<Fleet>,
+    /// How it writes its log.
+    pub log: log::Form,
 }
 
 impl Start {
@@ -42,7 +44,8 @@
         let held = handover::listener(&var)?;
         let config = Config::load(&var)?;
         let fleet = fleet_file(&var).map(|file| Fleet::read(&file, &config.names)).transpose()?;
-        Ok(Start { held, config, fleet })
+        let log = log::Form::read(&var)?;
+        Ok(Start { held, config, fleet, log })
     }
 }
 
@@ -53,6 +56,7 @@
 /// Reads what this process is told at its start, and serves until it is told to end. The error is one line.
 pub fn run() -> Result<(), String> {
     let start = Start::read(|name| std::env::var(name).ok())?;
+    let _written = start.log.start()?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -62,7 +66,7 @@
 
 /// Serves until SIGTERM, and then until all that came is answered.
 async fn serve(start: Start) -> Result<(), String> {
-    let Start { held, config, mut fleet } = start;
+    let Start { held, config, mut fleet, .. } = start;
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("cannot await SIGTERM: {e}"))?;
     let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("cannot await SIGHUP: {e}"))?;
     let listen = config.listen;
@@ -112,7 +116,7 @@
             }
         });
     }
-    log_line!("{name}: listening on {address}");
+    tracing::info!(target: "process", "{name}: listening on {address}");
 
     loop {
         tokio::select! {
@@ -120,11 +124,11 @@
             _ = hangup.recv() => {
                 match Config::discovery_now(|name| std::env::var(name).ok()) {
                     Ok(discovery) => {
-                        log_line!("{name}: discovery is at {discovery} now");
+                        tracing::info!(target: "process", "{name}: discovery is at {discovery} now");
                         driver.discovery_moved(discovery);
                     }
                     // What was known still stands: a bad file must not end a running agent.
-                    Err(why) => log_line!("{name}: the new configuration is not taken: {why}"),
+                    Err(why) => tracing::warn!(target: "process", "{name}: the new configuration is not taken: {why}"),
                 }
                 if let Some(fleet) = &mut fleet {
                     take_fleet(&name, fleet, &driver.names);
@@ -155,7 +159,7 @@
         }
     }
     sleep(FLUSH).await;
-    log_line!("{name}: all is answered");
+    tracing::info!(target: "process", "{name}: all is answered");
     Ok(())
 }
 
@@ -165,9 +169,11 @@
     match new {
         Ok((changes, new)) => {
             let changes = if changes.is_empty() { "nothing changed".to_owned() } else { changes.join("; ") };
-            log_line!("{name}: the fleet file is read again: {changes}");
+            tracing::info!(target: "process", "{name}: the fleet file is read again: {changes}");
             *fleet = new;
         }
-        Err(why) => log_line!("{name}: the new fleet file is not taken, what was known stands: {why}"),
+        Err(why) => {
+            tracing::warn!(target: "process", "{name}: the new fleet file is not taken, what was known stands: {why}")
+        }
     }
 }
--- a/agent/src/renderers/discovery.rs
+++ b/agent/src/renderers/discovery.rs
@@ -4,7 +4,6 @@
 //! ([`micasail::Action::Follow`], [`micasail::Action::FetchList`]); a watch once begun is kept up here.
 
 use crate::list::{parse_list, List};
-use crate::log::log_line;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{handshake, SendRequest};
@@ -152,13 +151,13 @@
         // A watch that had nothing to tell says nothing here either.
         Some(list) if list.whole || !list.hosts.is_empty() => {
             let what = if list.whole { "the whole list" } else { "changes" };
-            log_line!("discovery: {what} to {}, {} entries, after {after:.1} ms", list.seq, list.hosts.len());
+            tracing::info!(target: "discovery", "{what} to {}, {} entries, after {after:.1} ms", list.seq, list.hosts.len());
         }
         Some(_) => {}
         None => {
             let status = answered.get().map_or("no answer".to_owned(), |status| format!("status {status}"));
             let how = if reached.get() { status } else { "no connection".to_owned() };
-            log_line!("discovery: {path} failed after {after:.1} ms: {how}");
+            tracing::warn!(target: "discovery", "{path} failed after {after:.1} ms: {how}");
         }
     }
     if answer.is_some() {
--- a/agent/src/staff/operator.rs
+++ b/agent/src/staff/operator.rs
@@ -2,7 +2,6 @@
 //! the answer; what a call means is [`Staff`]'s to say.
 
 use super::words::Staff;
-use crate::log::log_line;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -36,13 +35,13 @@
             Ok(listener) => break listener,
             Err(why) if !told => {
                 told = true;
-                log_line!("operator: cannot listen on {address} yet: {why}");
+                tracing::warn!(target: "staff", "cannot listen on {address} yet: {why}");
             }
             Err(_) => {}
         }
         sleep(PAUSE).await;
     };
-    log_line!("operator: answers on {}", listener.local_addr().unwrap_or(address));
+    tracing::info!(target: "staff", "answers on {}", listener.local_addr().unwrap_or(address));
     let mut callers: VecDeque<JoinHandle<()>> = VecDeque::new();
     loop {
         let Ok((stream, _)) = listener.accept().await else {
--- a/agent/src/staff/words.rs
+++ b/agent/src/staff/words.rs
@@ -2,7 +2,6 @@
 
 use crate::driver::Driver;
 use crate::figures;
-use crate::log::log_line;
 use crate::peers::handover::{self, Cordons, Word};
 use micasail::Time;
 use std::cell::RefCell;
@@ -61,7 +60,7 @@
     }
 
     fn pass_on(&self, name: &str, word: Word) {
-        log_line!("operators: {name:.80} is {}", if word.out { "cordoned" } else { "back" });
+        tracing::info!(target: "staff", "{name:.80} is {}", if word.out { "cordoned" } else { "back" });
         self.driver.cordon(name, word.out, Time(word.at));
     }
 
@@ -71,7 +70,7 @@
         let Some(lessons) = self.folder.as_ref().and_then(|folder| handover::lessons(folder, server)) else {
             return;
         };
-        log_line!("handover: begins with what was learned of {} servers", lessons.servers.len());
+        tracing::info!(target: "handover", "begins with what was learned of {} servers", lessons.servers.len());
         self.driver.learn(lessons);
     }
 
@@ -84,7 +83,7 @@
         }
         let name = |server| Some(self.driver.name(server)).filter(|name| !name.is_empty());
         if let Err(why) = handover::keep(folder, lessons, name) {
-            log_line!("handover: what was learned is not kept: {why}");
+            tracing::warn!(target: "handover", "what was learned is not kept: {why}");
         }
     }
 }
--- a/src/api.rs
+++ b/src/api.rs
@@ -752,6 +752,8 @@
     FetchList,
     /// Something that people on call may want to read.
     Log {
+        /// The server that it is about, if it is about one.
+        server: Option<ServerId>,
         /// The text.
         text: String,
     },
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -891,7 +891,7 @@
         self.memory.retain(|&m| m != server);
         let text =
             format!("server {} {why}: pace {:.2} of median {:.2}", s.listed.server.0, s.pace, self.median);
-        out.push(Action::Log { text });
+        out.push(Action::Log { server: Some(s.listed.server), text });
     }
 
     /// A blind balancer meets a server too seldom for trials: those of all balancers together would be a load
--- a/tests/suspects.rs
+++ b/tests/suspects.rs
@@ -155,7 +155,7 @@
         let ill = server == ServerId(0) || dice.u32(0..7) == 0;
         let outcome = if ill { Outcome::ServerError } else { Outcome::Success };
         for action in rig.answer(id, 0, outcome, 20.0).to_vec() {
-            if matches!(action, Action::Log { text } if text.contains("failing")) {
+            if matches!(action, Action::Log { text, .. } if text.contains("failing")) {
                 suspects[server.0 as usize] += 1;
             }
         }
