Answer for each renderer and each zone at the second address

Two calls, `renderers` and `zones`: sends, in flight, answered, failed, rejected, limit, doubted, cordoned, warmth; at most 2,000 renderers and 256 zones, what is past that is counted. The module tells what it makes of its servers (views), the agent counts attempts by renderer; those of one that leaves the list stay its zone's, so the zones' sends add up to the counters'. The answers' forms are public types (bellcroft::forms), for the staff's command to read.

Tested against two renderers of which one fails, is cordoned and leaves the list.

--- a/agent/src/driver/mod.rs
+++ b/agent/src/driver/mod.rs
@@ -8,7 +8,8 @@
 pub mod servers;
 
 use crate::config::Config;
-use crate::figures::{Counts, Figures};
+use crate::figures::{Attempts, Counts, Figures};
+use crate::forms::Renderer;
 use crate::list::List;
 use crate::log::{Log, Tried};
 use crate::renderers::discovery::{Discovery, News};
@@ -17,13 +18,14 @@
 use hyper::StatusCode;
 use micasail::{
     Action, AttemptNo, Balancer, Effect, Event, Fleet, Lessons, ListUpdate, Listed, Outcome, RequestId,
-    ServerId, SettingsError, Span, Time,
+    ServerId, SettingsError, Span, Status, Time, View,
 };
 use micasail_settings::Names;
 use queue::{Clock, Queue};
 use requests::{outgoing, Answer, Arrival, Open, Requests};
 use servers::Servers;
 use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -130,6 +132,38 @@
         self.state.borrow().queue.balancer.fleet(self.clock.now())
     }
 
+    /// What is made of each renderer on the list, by name, and the attempts at it.
+    pub fn renderers(&self) -> Vec<Renderer> {
+        let state = self.state.borrow();
+        let by_server = self.figures.by_server();
+        let renderer = |view: View| {
+            let attempts = by_server.get(&view.server).copied().unwrap_or_default();
+            Renderer {
+                id: state.servers.name(view.server).to_owned(),
+                zone: state.servers.zone(view.server).to_owned(),
+                serving: view.status == Status::Serving,
+                cordoned: view.cordoned,
+                doubted: view.doubted,
+                warmth: view.warmth,
+                limit: view.limit,
+                in_flight: view.in_flight.into(),
+                sends: attempts.sends,
+                answered: attempts.answered,
+                failed: attempts.failed,
+                rejected: attempts.rejected,
+            }
+        };
+        let mut renderers: Vec<_> =
+            state.queue.balancer.views(self.clock.now()).into_iter().map(renderer).collect();
+        renderers.sort_by(|a, b| a.id.cmp(&b.id));
+        renderers
+    }
+
+    /// The attempts at renderers that have left the list, by zone.
+    pub fn left(&self) -> BTreeMap<String, Attempts> {
+        self.state.borrow().servers.left_by_zone().clone()
+    }
+
     /// The number of a server that has had this name.
     pub fn server(&self, name: &str) -> Option<ServerId> {
         self.state.borrow().servers.id(name)
@@ -260,7 +294,11 @@
         let lines =
             state.servers.take(list, &self.names, |server, host| self.upstream.describe(server, host));
         if list.whole {
-            self.upstream.keep_only(|server| lines.iter().any(|line| line.server == server));
+            let named: HashSet<ServerId> = lines.iter().map(|line| line.server).collect();
+            self.upstream.keep_only(|server| named.contains(&server));
+            for (server, attempts) in self.figures.keep_only(|server| named.contains(&server)) {
+                state.servers.left(server, &attempts);
+            }
         }
         lines
     }
@@ -389,7 +427,7 @@
         {
             let mut state = self.state.borrow_mut();
             state.requests.attempts.remove(&key);
-            self.figures.attempt(ended.outcome);
+            self.figures.attempt(server, ended.outcome);
             if let Some(served) = ended.answer {
                 let driver = self.clone();
                 let broke = move || driver.broke(server);
--- a/agent/src/driver/servers.rs
+++ b/agent/src/driver/servers.rs
@@ -1,9 +1,10 @@
 //! The servers by name and number, and the list in the balancer's terms.
 
+use crate::figures::Attempts;
 use crate::list::{Health, Host, List};
 use micasail::{CellId, KindId, Listed, ServerId, Status, Time, ZoneId};
 use micasail_settings::{fnv1a, Names};
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 /// How a server is called, and where it stands by the list.
 struct Known {
@@ -18,10 +19,15 @@
     known: HashMap<ServerId, Known>,
     /// Servers that the list says are up.
     up: HashSet<ServerId>,
+    /// The attempts at servers that have left the list, by zone.
+    left: BTreeMap<String, Attempts>,
     /// The version of the list.
     pub seq: u64,
 }
 
+/// Zones past this many are counted as one without a name.
+const ZONES_MOST: usize = 256;
+
 impl Servers {
     /// Whether there is one to send to.
     pub fn any_up(&self) -> bool {
@@ -43,6 +49,18 @@
         self.known.get(&server).map_or("", |known| &known.zone)
     }
 
+    /// A server has left the list; what was counted of it stays its zone's.
+    pub fn left(&mut self, server: ServerId, attempts: &Attempts) {
+        let zone = self.known.get(&server).map_or("", |known| &known.zone);
+        let room = self.left.len() < ZONES_MOST || self.left.contains_key(zone);
+        self.left.entry(if room { zone.to_owned() } else { String::new() }).or_default().add(attempts);
+    }
+
+    /// The attempts at servers that have left the list, by zone.
+    pub fn left_by_zone(&self) -> &BTreeMap<String, Attempts> {
+        &self.left
+    }
+
     /// Takes in a list: where its servers are reached is for `describe`, and the rest is put in the balancer's terms.
     pub fn take(
         &mut self,
--- a/agent/src/figures.rs
+++ b/agent/src/figures.rs
@@ -1,9 +1,10 @@
 //! What the agent has done since its start, counted once, where it happens. The second address shows these figures
 //! and the log writes how they have moved, so that both tell the same story.
 
-use micasail::Outcome;
-use serde_json::{json, Map, Value};
+use crate::forms::Counters;
+use micasail::{Outcome, ServerId};
 use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
 pub const OUTCOMES: usize = 8;
@@ -29,6 +30,29 @@
     pub failed: u64,
 }
 
+/// The attempts at one renderer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Attempts {
+    /// Written whole.
+    pub sends: u64,
+    /// Served.
+    pub answered: u64,
+    /// Lost: an error, no answer in time, no connection or a broken one.
+    pub failed: u64,
+    /// Turned away by it unprocessed.
+    pub rejected: u64,
+}
+
+impl Attempts {
+    /// Adds others to these.
+    pub fn add(&mut self, other: &Attempts) {
+        self.sends += other.sends;
+        self.answered += other.answered;
+        self.failed += other.failed;
+        self.rejected += other.rejected;
+    }
+}
+
 /// All counts since the start.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Counts {
@@ -61,12 +85,13 @@
 }
 
 /// The counts, shared by all that count.
-pub struct Figures(RefCell<Counts>);
+pub struct Figures(RefCell<Counts>, RefCell<HashMap<ServerId, Attempts>>);
 
 impl Figures {
     /// Has counted nothing yet.
     pub fn new(classes: usize) -> Rc<Self> {
-        Rc::new(Figures(RefCell::new(Counts { ends: vec![Ends::default(); classes], ..Counts::default() })))
+        let counts = Counts { ends: vec![Ends::default(); classes], ..Counts::default() };
+        Rc::new(Figures(RefCell::new(counts), RefCell::default()))
     }
 
     /// The counts as they are now.
@@ -86,9 +111,20 @@
         Taken { figures: self.clone(), class, whole: false, end: End::Gone, sends: 0 }
     }
 
+    /// The attempts at each renderer.
+    pub fn by_server(&self) -> HashMap<ServerId, Attempts> {
+        self.1.borrow().clone()
+    }
+
+    /// Forgets the renderers that are not among these; what was counted of them.
+    pub fn keep_only(&self, named: impl Fn(ServerId) -> bool) -> Vec<(ServerId, Attempts)> {
+        self.1.borrow_mut().extract_if(|server, _| !named(*server)).collect()
+    }
+
     /// The last byte of an attempt has been written.
-    pub fn sent(&self) {
+    pub fn sent(&self, server: ServerId) {
         self.0.borrow_mut().sends += 1;
+        self.1.borrow_mut().entry(server).or_default().sends += 1;
     }
 
     /// A request made no sense.
@@ -97,7 +133,17 @@
     }
 
     /// An attempt has ended.
-    pub fn attempt(&self, outcome: Outcome) {
+    pub fn attempt(&self, server: ServerId, outcome: Outcome) {
+        let mut by_server = self.1.borrow_mut();
+        let attempts = by_server.entry(server).or_default();
+        match outcome {
+            Outcome::Success => attempts.answered += 1,
+            Outcome::Rejected => attempts.rejected += 1,
+            Outcome::Cancelled | Outcome::NotSent => {}
+            Outcome::ServerError | Outcome::TimedOut | Outcome::ConnectFailed | Outcome::ConnectionReset => {
+                attempts.failed += 1;
+            }
+        }
         self.0.borrow_mut().outcomes[outcome as usize % OUTCOMES] += 1;
     }
 
@@ -151,24 +197,25 @@
 }
 
 /// The figures as the operators read them.
-pub fn report(counts: &Counts, classes: &[String], listed: usize, avoided: usize) -> Value {
-    let by_class = |kind: fn(&Ends) -> u64| -> Map<String, Value> {
-        classes.iter().zip(&counts.ends).map(|(name, ends)| (name.clone(), kind(ends).into())).collect()
+pub fn report(counts: &Counts, classes: &[String], listed: usize, avoided: usize) -> Counters {
+    let by_class = |kind: fn(&Ends) -> u64| -> BTreeMap<String, u64> {
+        classes.iter().zip(&counts.ends).map(|(name, ends)| (name.clone(), kind(ends))).collect()
     };
-    json!({
-        "answered": by_class(|e| e.served),
-        "deferred": by_class(|e| e.refused),
-        "errored": by_class(|e| e.failed),
-        "sends": counts.sends,
-        "current": counts.current(),
-        "cluster_size": listed,
-        "cluster_unhealthy": avoided,
-    })
+    Counters {
+        answered: by_class(|e| e.served),
+        deferred: by_class(|e| e.refused),
+        errored: by_class(|e| e.failed),
+        sends: counts.sends,
+        current: counts.current(),
+        cluster_size: listed as u64,
+        cluster_unhealthy: avoided as u64,
+    }
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
+    use serde_json::json;
 
     #[test]
     fn each_request_ends_in_exactly_one_way() {
@@ -185,11 +232,11 @@
         drop(taken);
         drop(figures.upload(0));
         assert_eq!(figures.now().taken, 5, "one that never came whole was none");
-        figures.sent();
+        figures.sent(ServerId(1));
         let counts = figures.now();
         assert_eq!((counts.current(), counts.refused_unsent, counts.gone), (0, 1, 1));
         assert_eq!(counts.total(|e| e.served + e.refused + e.failed), counts.taken);
-        let told = report(&counts, &["a".into(), "b".into()], 3, 1);
+        let told = serde_json::json!(report(&counts, &["a".into(), "b".into()], 3, 1));
         assert_eq!(told["answered"], json!({"a": 0, "b": 1}));
         assert_eq!(told["deferred"], json!({"a": 0, "b": 2}));
         assert_eq!(told["errored"], json!({"a": 2, "b": 0}));
--- a/agent/src/lib.rs
+++ b/agent/src/lib.rs
@@ -12,6 +12,7 @@
 mod config;
 mod driver;
 mod figures;
+pub mod forms;
 mod list;
 mod log;
 mod peers;
--- a/agent/src/log.rs
+++ b/agent/src/log.rs
@@ -303,6 +303,7 @@
 mod tests {
     use super::*;
     use crate::figures::End;
+    use micasail::ServerId;
     use std::sync::Mutex;
 
     /// Keeps what is written.
@@ -356,8 +357,8 @@
         figures.take(0).end(End::Failed);
         figures.take(0).end(End::Served);
         drop(figures.take(0));
-        figures.attempt(Outcome::Rejected);
-        figures.sent();
+        figures.attempt(ServerId(1), Outcome::Rejected);
+        figures.sent(ServerId(1));
         figures.bad();
         assert!(log.counts(start, &figures).is_none());
         let moved = log.counts(start + PERIOD, &figures).expect("a line");
--- a/agent/src/renderers/upstream.rs
+++ b/agent/src/renderers/upstream.rs
@@ -49,7 +49,7 @@
     written: Cell<u64>,
     shut: Cell<bool>,
     /// The count at which the attempt that is under way is out whole, and where that is told.
-    whole: RefCell<Option<(Goal, Rc<Figures>)>>,
+    whole: RefCell<Option<(Goal, ServerId, Rc<Figures>)>>,
 }
 
 /// The count at which an attempt is out whole; while its length is unknown, no count is.
@@ -65,9 +65,10 @@
     fn wrote(&self, n: usize) -> usize {
         let written = self.wire.written.get() + n as u64;
         self.wire.written.set(written);
-        if let Some((_, figures)) = self.wire.whole.borrow_mut().take_if(|(whole, _)| written >= whole.get())
+        if let Some((_, server, figures)) =
+            self.wire.whole.borrow_mut().take_if(|(whole, ..)| written >= whole.get())
         {
-            figures.sent();
+            figures.sent(server);
         }
         n
     }
@@ -376,7 +377,7 @@
             let length = length(&request).map_or(u64::MAX, |length| connection.wire.written.get() + length);
             let whole = Goal::new(Cell::new(length));
             *progress.wire.borrow_mut() = Some((connection.wire.clone(), whole.clone()));
-            *connection.wire.whole.borrow_mut() = Some((whole.clone(), self.figures.clone()));
+            *connection.wire.whole.borrow_mut() = Some((whole.clone(), server, self.figures.clone()));
             if length == u64::MAX {
                 // What ends the body is written next.
                 let wire = connection.wire.clone();
--- a/agent/src/staff/operator.rs
+++ b/agent/src/staff/operator.rs
@@ -2,6 +2,7 @@
 //! the answer; what a call means is [`Staff`]'s to say.
 
 use super::words::Staff;
+use serde::Serialize;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -22,7 +23,7 @@
 const LINE_WAIT: Duration = Duration::from_secs(6);
 /// What a caller gets to read its answer and to close.
 const ANSWER_WAIT: Duration = Duration::from_secs(2);
-const CALLS: &str = "health, counters, cordon ID, uncordon ID";
+const CALLS: &str = "health, counters, renderers, zones, cordon ID, uncordon ID";
 /// Pause after a bind or an accept that failed.
 const PAUSE: Duration = Duration::from_millis(100);
 
@@ -96,20 +97,29 @@
     }
 }
 
+/// Figures as one line, and the line that says that there is no more.
+fn figures(form: &impl Serialize) -> String {
+    // These forms have text for keys and nothing that could fail to be written.
+    let line = serde_json::to_string(form).unwrap_or_default();
+    format!("{line}\nend\n")
+}
+
 /// The answer to a call, whole.
 fn answer(staff: &Rc<Staff>, call: &str) -> String {
     let words: Vec<&str> = call.split_whitespace().collect();
     let answer = match words[..] {
         ["health"] if staff.serves() => Ok("done".to_owned()),
         ["health"] => Err("no clients are taken yet".to_owned()),
-        ["counters"] => return format!("{}\nend\n", staff.counters()),
+        ["counters"] => return figures(&staff.counters()),
+        ["renderers"] => return figures(&staff.renderers()),
+        ["zones"] => return figures(&staff.zones()),
         [call @ ("cordon" | "uncordon"), id] => match staff.cordon(id, call == "cordon") {
             Ok(true) => Ok("done".to_owned()),
             Ok(false) => Err(format!("no renderer {id:.80}")),
             Err(why) => Err(format!("it holds in this process alone, an upgrade would forget it: {why}")),
         },
         ["cordon" | "uncordon", ..] => Err("this call takes one renderer's name".to_owned()),
-        ["health" | "counters", ..] => Err("this call stands alone".to_owned()),
+        ["health" | "counters" | "renderers" | "zones", ..] => Err("this call stands alone".to_owned()),
         [] => Err(format!("an empty line; calls are {CALLS}")),
         [other, ..] => Err(format!("no call {other:.40}; calls are {CALLS}")),
     };
--- a/agent/src/staff/words.rs
+++ b/agent/src/staff/words.rs
@@ -1,10 +1,12 @@
 //! What the staff's calls mean, and what outlives a process of what they said.
 
 use crate::driver::Driver;
-use crate::figures;
+use crate::figures::{self, Attempts};
+use crate::forms::{Counters, Renderers, Zone, Zones, RENDERERS_MOST, ZONES_MOST};
 use crate::peers::handover::{self, Cordons, Word};
 use micasail::Time;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::io;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -32,11 +34,45 @@
     }
 
     /// The figures as the operators read them.
-    pub fn counters(&self) -> serde_json::Value {
+    pub fn counters(&self) -> Counters {
         let fleet = self.driver.fleet();
         figures::report(&self.driver.counts(), &self.driver.names.classes, fleet.listed, fleet.avoided)
     }
 
+    /// Each renderer on the list.
+    pub fn renderers(&self) -> Renderers {
+        let mut renderers = self.driver.renderers();
+        let left_out = renderers.len().saturating_sub(RENDERERS_MOST) as u64;
+        renderers.truncate(RENDERERS_MOST);
+        Renderers { renderers, left_out }
+    }
+
+    /// The same summed by zone, with what was counted of renderers that have left the list.
+    pub fn zones(&self) -> Zones {
+        let mut zones: BTreeMap<String, Zone> = BTreeMap::new();
+        for (zone, attempts) in self.driver.left() {
+            let Attempts { sends, answered, failed, rejected } = attempts;
+            zones.insert(zone, Zone { sends, answered, failed, rejected, ..Zone::default() });
+        }
+        for renderer in self.driver.renderers() {
+            let zone = zones.entry(renderer.zone).or_default();
+            zone.listed += 1;
+            zone.serving += u64::from(renderer.serving);
+            zone.cordoned += u64::from(renderer.cordoned);
+            zone.doubted += u64::from(renderer.doubted);
+            zone.cold += u64::from(renderer.warmth < 1.0);
+            zone.limit += renderer.limit;
+            zone.in_flight += renderer.in_flight;
+            zone.sends += renderer.sends;
+            zone.answered += renderer.answered;
+            zone.failed += renderer.failed;
+            zone.rejected += renderer.rejected;
+        }
+        let left_out = zones.len().saturating_sub(ZONES_MOST) as u64;
+        let named = zones.into_iter().take(ZONES_MOST).map(|(name, zone)| Zone { zone: name, ..zone });
+        Zones { zones: named.collect(), left_out }
+    }
+
     /// Takes a server out of use for the operators, or brings it back; false if nobody has had that name. An error
     /// means that this process does so, and that one that takes over will not know.
     pub fn cordon(&self, name: &str, out: bool) -> io::Result<bool> {
--- a/agent/tests/common/mod.rs
+++ b/agent/tests/common/mod.rs
@@ -104,7 +104,11 @@
     }
 
     pub async fn counters(&self) -> Value {
-        let answer = self.call("counters").await;
+        self.figures("counters").await
+    }
+
+    pub async fn figures(&self, call: &str) -> Value {
+        let answer = self.call(call).await;
         let (figures, end) = answer.split_once('\n').expect("lines");
         assert_eq!(end, "end\n");
         serde_json::from_str(figures).expect("figures")
--- a/agent/tests/layers.rs
+++ b/agent/tests/layers.rs
@@ -5,8 +5,9 @@
 
 /// Each layer of `src`, the lowest first; a file may use what stands before its own layer, and its own folder's files
 /// that stand before it.
-const LAYERS: [&str; 22] = [
+const LAYERS: [&str; 23] = [
     "list",
+    "forms",
     "figures",
     "log",
     "config/fleet",
--- a/agent/tests/operator.rs
+++ b/agent/tests/operator.rs
@@ -137,3 +137,46 @@
     assert_eq!(agent.call("uncordon out").await, "done\n");
     soon("the renderer's return", async { while agent.get("/read").await.body != b"out" {} }).await;
 }
+
+/// Each renderer and each zone, and sums that agree with the counters, also once a renderer has left the list.
+#[tokio::test]
+async fn renderers_and_zones_add_up_to_the_counters() {
+    let good = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let bad =
+        Backend::start(|_| Reply::Bytes(b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n".to_vec())).await;
+    let mut far = host("bad", bad.address, "up");
+    far["site"] = "b".into();
+    let hosts = [host("good", good.address, "up"), far];
+    let mut directory = Directory::start(Mood::Mute).await;
+    let agent = operated(&hosts, &directory).await;
+    let tried = |told: &Value, id: &str| -> Value {
+        let renderers = told["renderers"].as_array().expect("renderers");
+        renderers.iter().find(|renderer| renderer["id"] == id).expect("it is there").clone()
+    };
+    while tried(&agent.figures("renderers").await, "bad")["failed"] == 0 {
+        agent.get("/read").await;
+    }
+    assert_eq!(agent.call("cordon bad").await, "done\n");
+    let told = agent.figures("renderers").await;
+    let (bad, good) = (tried(&told, "bad"), tried(&told, "good"));
+    assert_eq!((&bad["zone"], &bad["cordoned"], &bad["serving"]), (&json!("b"), &json!(true), &json!(true)));
+    assert_eq!(
+        (&good["cordoned"], &good["failed"], &good["in_flight"]),
+        (&json!(false), &json!(0), &json!(0))
+    );
+    assert!(good["answered"].as_u64() > Some(0) && good["answered"] == good["sends"], "{good}");
+    assert!(good["limit"].as_f64() > Some(0.0) && good["warmth"] == 1.0, "{good}");
+
+    directory.next_call().await;
+    directory.list(2, &hosts[..1]);
+    directory.next_call().await;
+    soon("the list", async { while agent.counters().await["cluster_size"] != 1 {} }).await;
+    let zones = agent.figures("zones").await;
+    let zone =
+        |name: &str| zones["zones"].as_array().expect("zones").iter().find(|z| z["zone"] == name).cloned();
+    let (near, far) = (zone("a").expect("a zone"), zone("b").expect("a zone"));
+    assert_eq!((&near["listed"], &far["listed"], &far["limit"]), (&json!(1), &json!(0), &json!(0.0)));
+    assert_eq!((&far["failed"], &far["sends"]), (&bad["failed"], &bad["sends"]));
+    let sends = [near, far].iter().map(|zone| zone["sends"].as_u64().expect("a count")).sum::<u64>();
+    assert_eq!(agent.counters().await["sends"], sends);
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -476,6 +476,27 @@
     pub avoided: usize,
 }
 
+/// What a balancer makes of one server, for people.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct View {
+    /// The server.
+    pub server: ServerId,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// What the list says of it.
+    pub status: Status,
+    /// The operators have taken it out of use.
+    pub cordoned: bool,
+    /// It is suspect by its own answers, or doubted for a while: it gets trials, or a small part of its share.
+    pub doubted: bool,
+    /// Own attempts that are out to it.
+    pub in_flight: u32,
+    /// Own requests that it may hold now.
+    pub limit: f64,
+    /// The share of its capacity that it surely has, from 0 to 1; under 1 it is cold.
+    pub warmth: f64,
+}
+
 /// What a balancer has learned, for one that takes over from it.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Lessons {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -640,7 +640,7 @@
     // ---- cold servers -------------------------------------------------------------------------------
 
     /// The share of its capacity that a server surely has.
-    fn warmth(&self, s: &Server, now: Time) -> f64 {
+    pub(crate) fn warmth(&self, s: &Server, now: Time) -> f64 {
         let Some(started) = s.listed.started.max(s.returned) else { return 1.0 };
         let (age, warm) = (now.since(started).ms(), self.settings.warm_after.ms());
         if age >= warm {
--- a/src/records.rs
+++ b/src/records.rs
@@ -368,6 +368,22 @@
         Fleet { listed: listed().count(), avoided: listed().filter(avoided).count() }
     }
 
+    /// What it makes of each server that the list has not removed.
+    pub fn views(&self, now: Time) -> Vec<View> {
+        let listed = self.servers.iter().filter(|s| s.listed.status != Status::Gone);
+        let view = |s: &Server| View {
+            server: s.listed.server,
+            zone: s.listed.zone,
+            status: s.listed.status,
+            cordoned: self.cordoned.contains(&s.listed.server),
+            doubted: s.suspicion.is_some() || (self.blind && s.doubted_until > now),
+            in_flight: s.in_flight,
+            limit: s.limit * self.level,
+            warmth: self.warmth(s, now),
+        };
+        listed.map(view).collect()
+    }
+
     /// The state behind the decisions in one line, for a log.
     pub fn summary(&self) -> String {
         let serving = || self.serving.iter().map(|&i| &self.servers[i]);
