Draw from the own zone as well, where a crossing has a price

Of three draws in many zones often none is near: with three requests out at a time and five near servers of twenty, 182 of 400 stayed in the zone although two near ones were idle throughout. As many draws more come from the own zone; which candidate is lightest is decided as before, by own count in flight, so nobody waits behind others to stay near. In a jam (level under 0.8) any room counts, and the pick costs what it did.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -11,6 +11,9 @@
 /// Remembered servers (m) and fresh draws (d) of each pick; the paper asks for d >= m.
 const REMEMBERED: usize = 1;
 const DRAWS: usize = 3;
+/// Further draws from the own zone, and the common level under which the fleet is in a jam.
+const NEAR_DRAWS: usize = 3;
+const NEAR_LEVEL: f64 = 0.8;
 /// Both of a blind balancer that pays for handshakes: its requests in flight are each on another server, and
 /// the next one should find a remembered server whose connection is idle.
 const REMEMBERED_BLIND: usize = 12;
@@ -474,6 +477,9 @@
     }
 
     /// Fresh uniform draws from the servers that are ready for the request, and the remembered ones that are.
+    /// Where a crossing has a price, as many come from the own zone: of three draws in many zones often none
+    /// is near, although an idle one is there. Which is lightest of all is not touched by where it was drawn.
+    /// In a jam any room counts.
     /// Draws are by rejection, four tries each, so that a pick costs the same in a large fleet; only if all
     /// fail is each server looked at, and those that were tried before come last.
     fn candidates(&mut self, now: Time, ask: &Pick) -> Vec<usize> {
@@ -484,13 +490,19 @@
         }
         let draws = self.compared() - self.remembered();
         let mut found: Vec<usize> = Vec::with_capacity(draws + self.memory.len() + 1);
-        for _ in 0..4 * draws {
-            if found.len() >= draws || self.serving.is_empty() {
-                break;
-            }
-            let i = self.serving[self.rng.usize(0..self.serving.len())];
-            if !ask.tried.contains(&i) && self.ready(now, i, ask) && self.passes(now, i) {
-                found.push(i);
+        let crossing = self.settings.prices.cross_zone > 0.0 && self.level >= NEAR_LEVEL && !self.blind;
+        let near = if crossing { NEAR_DRAWS } else { 0 };
+        for (of_near, draws) in [(true, near), (false, draws)] {
+            let most = found.len() + draws;
+            for _ in 0..4 * draws {
+                let pool = if of_near { &self.near } else { &self.serving };
+                if found.len() >= most || pool.is_empty() {
+                    break;
+                }
+                let i = pool[self.rng.usize(0..pool.len())];
+                if !ask.tried.contains(&i) && self.ready(now, i, ask) && self.passes(now, i) {
+                    found.push(i);
+                }
             }
         }
         for m in self.memory.clone().into_iter().chain(ask.warm) {
@@ -981,6 +993,8 @@
         }
         let servers = &self.servers;
         self.serving = (0..servers.len()).filter(|&i| servers[i].open).collect();
+        let own = self.settings.zone;
+        self.near = self.serving.iter().copied().filter(|&i| servers[i].listed.zone == own).collect();
         self.memory.retain(|&m| servers[m].open);
         self.shut = listed && self.serving.is_empty();
         self.warm = self.serving.iter().filter(|&&i| self.warmth(&self.servers[i], now) >= 1.0).count();
--- a/src/records.rs
+++ b/src/records.rs
@@ -228,6 +228,8 @@
     pub(crate) blind: bool,
     /// The servers that the list says are serving and no cordon holds back.
     pub(crate) serving: Vec<usize>,
+    /// Those of them in the own zone.
+    pub(crate) near: Vec<usize>,
     /// Servers that the operators have taken out of use; beside the list, which must not lift a cordon.
     pub(crate) cordoned: BTreeSet<ServerId>,
     /// Cordons leave nothing of the list to send to.
@@ -283,6 +285,7 @@
             held: Vec::new(),
             memory: Vec::new(),
             serving: Vec::new(),
+            near: Vec::new(),
             cordoned: BTreeSet::new(),
             shut: false,
             untried: Vec::new(),
--- /dev/null
+++ b/tests/near.rs
@@ -0,0 +1,60 @@
+//! Where a crossing has a price: near servers are found while they are idle, and nobody queues for them.
+
+mod common;
+use common::*;
+use micasail::*;
+use std::collections::VecDeque;
+
+/// Four zones of five servers each, the balancer in the first; a few balancers share them.
+fn rig(cross_zone: f64, seed: u64) -> Rig {
+    let prices = Prices { cross_zone, ..Prices::default() };
+    let classes = vec![Class::default()];
+    let mut rig = Rig::new(Settings { classes, prices, balancers: 3, ..Settings::default() }, seed);
+    let line = |n: u32| Listed { zone: ZoneId(n % 4), ..Listed::serving(ServerId(n)) };
+    rig.list((0..20).map(line).collect());
+    rig
+}
+
+fn near(server: Option<ServerId>) -> bool {
+    server.is_some_and(|server| server.0 % 4 == 0)
+}
+
+/// Three requests are out at a time, so that two near servers are idle. Of three draws in four zones often none was
+/// near.
+#[test]
+fn an_idle_near_server_is_found() {
+    let mut rig = rig(0.1, 7);
+    let mut out = VecDeque::new();
+    let mut stayed = 0;
+    for _ in 0..400 {
+        let (id, server) = rig.ask(0);
+        stayed += u32::from(near(server));
+        out.push_back(id);
+        rig.wait(Span::from_ms(10.0));
+        if out.len() > 3 {
+            let first = out.pop_front().expect("it is out");
+            rig.answer(first, 0, Outcome::Success, 40.0);
+        }
+    }
+    assert!(stayed >= 340, "{stayed} of 400 stayed in the zone");
+    rig.assert_rules();
+}
+
+/// The own count in flight decides as before: nobody waits behind others in the zone while there are idle servers.
+#[test]
+fn a_busy_zone_is_left_for_idle_servers() {
+    let mut rig = rig(0.1, 8);
+    let sent: Vec<_> = (0..20).map(|_| rig.ask(0).1.expect("all are idle at first")).collect();
+    let most = (0..20).map(|n| sent.iter().filter(|server| server.0 == n).count()).max();
+    assert!(most <= Some(2), "{sent:?}");
+    let stayed = sent.iter().filter(|server| near(Some(**server))).count();
+    assert!((5..=10).contains(&stayed), "{stayed} of 20 stayed in the zone");
+}
+
+/// No price, no lean.
+#[test]
+fn without_a_price_all_zones_are_alike() {
+    let mut rig = rig(0.0, 9);
+    let stayed = (0..400).filter(|_| near(rig.ask_and_answer(20.0))).count();
+    assert!((60..=140).contains(&stayed), "{stayed} of 400 stayed in the zone");
+}
