Leave a zone by staff's word at the second address, and return to it slowly

The module keeps the zones that staff have left beside the cordons: nothing new goes to any server that the list has there, now or later, and its idle connections close. On return what was learned of its servers stands, but each counts as cold from then on, since all agents return at once, and a few agents try each soon, as with a server that is called back. The word is kept with the cordons, so it holds in both processes of an upgrade and after it. bellctl says it to all agents and shows which zones are left.

--- a/agent/src/driver/mod.rs
+++ b/agent/src/driver/mod.rs
@@ -18,12 +18,12 @@
 use hyper::StatusCode;
 use micasail::{
     Action, AttemptNo, Balancer, Effect, Event, Fleet, Lessons, ListUpdate, Listed, Outcome, RequestId,
-    ServerId, SettingsError, Span, Status, Time, View,
+    ServerId, SettingsError, Span, Status, Time, View, ZoneId,
 };
 use micasail_settings::Names;
 use queue::{Clock, Queue};
 use requests::{outgoing, Answer, Arrival, Open, Requests};
-use servers::Servers;
+use servers::{place, Servers};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
@@ -194,6 +194,21 @@
         }
     }
 
+    /// Whether the settings or the list have a zone of this name.
+    pub fn knows_zone(&self, name: &str) -> bool {
+        self.names.zones.iter().any(|zone| zone == name) || self.state.borrow().servers.knows_zone(name)
+    }
+
+    /// Leaves a zone for the operators, or returns to one that was left until `at`.
+    pub fn zone(self: &Rc<Self>, name: &str, out: bool, at: Time) {
+        let zone = ZoneId(place(&self.names.zones, name));
+        // As with a cordon: one that another process has seen left and returned to comes back slowly here as well.
+        self.tell([Event::LeaveZone { zone }]);
+        if !out {
+            self.tell([Event::ReturnZone { zone, at }]);
+        }
+    }
+
     /// Tells the balancer, and does what it decides.
     fn tell(self: &Rc<Self>, events: impl IntoIterator<Item = Event>) {
         {
--- a/agent/src/driver/servers.rs
+++ b/agent/src/driver/servers.rs
@@ -49,6 +49,11 @@
         self.known.get(&server).map_or("", |known| &known.zone)
     }
 
+    /// Whether a server has stood in this zone.
+    pub fn knows_zone(&self, zone: &str) -> bool {
+        self.known.values().any(|known| known.zone == zone)
+    }
+
     /// A server has left the list; what was counted of it stays its zone's.
     pub fn left(&mut self, server: ServerId, attempts: &Attempts) {
         let zone = self.known.get(&server).map_or("", |known| &known.zone);
@@ -121,7 +126,7 @@
 
 /// A name's place in the settings; one that they lack gets a number of its own past them, so that no two zones
 /// pass for one.
-fn place(names: &[String], name: &str) -> u32 {
+pub fn place(names: &[String], name: &str) -> u32 {
     let known = names.iter().position(|n| n == name);
     known.unwrap_or_else(|| names.len() + (fnv1a(name) as u32 >> 1) as usize) as u32
 }
--- a/agent/src/forms.rs
+++ b/agent/src/forms.rs
@@ -79,6 +79,9 @@
 pub struct Zone {
     /// Its name on the list.
     pub zone: String,
+    /// Staff have left it at this agent: nothing new goes there.
+    #[serde(default)]
+    pub left: bool,
     /// Its renderers on the list.
     pub listed: u64,
     /// Those that the list says take work.
--- a/agent/src/staff/operator.rs
+++ b/agent/src/staff/operator.rs
@@ -23,7 +23,8 @@
 const LINE_WAIT: Duration = Duration::from_secs(6);
 /// What a caller gets to read its answer and to close.
 const ANSWER_WAIT: Duration = Duration::from_secs(2);
-const CALLS: &str = "health, counters, renderers, zones, cordon ID, uncordon ID";
+const CALLS: &str =
+    "health, counters, renderers, zones, cordon ID, uncordon ID, zone leave NAME, zone return NAME";
 /// Pause after a bind or an accept that failed.
 const PAUSE: Duration = Duration::from_millis(100);
 
@@ -118,6 +119,12 @@
             Ok(false) => Err(format!("no renderer {id:.80}")),
             Err(why) => Err(format!("it holds in this process alone, an upgrade would forget it: {why}")),
         },
+        ["zone", word @ ("leave" | "return"), name] => match staff.zone(name, word == "leave") {
+            Ok(true) => Ok("done".to_owned()),
+            Ok(false) => Err(format!("no zone {name:.80}")),
+            Err(why) => Err(format!("it holds in this process alone, an upgrade would forget it: {why}")),
+        },
+        ["zone", ..] => Err("this call is zone leave NAME or zone return NAME".to_owned()),
         ["cordon" | "uncordon", ..] => Err("this call takes one renderer's name".to_owned()),
         ["health" | "counters" | "renderers" | "zones", ..] => Err("this call stands alone".to_owned()),
         [] => Err(format!("an empty line; calls are {CALLS}")),
--- a/agent/src/staff/words.rs
+++ b/agent/src/staff/words.rs
@@ -11,6 +11,9 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 
+/// Before the name of a zone among the words on renderers; no call can name a renderer with a space.
+const ZONE: &str = "zone ";
+
 /// What the staff ask and say.
 pub struct Staff {
     driver: Rc<Driver>,
@@ -69,7 +72,13 @@
             zone.rejected += renderer.rejected;
         }
         let left_out = zones.len().saturating_sub(ZONES_MOST) as u64;
-        let named = zones.into_iter().take(ZONES_MOST).map(|(name, zone)| Zone { zone: name, ..zone });
+        let cordons = self.cordons.borrow();
+        let left = |name: &str| cordons.out(&format!("{ZONE}{name}"));
+        let named = zones.into_iter().take(ZONES_MOST).map(|(name, zone)| Zone {
+            left: left(&name),
+            zone: name,
+            ..zone
+        });
         Zones { zones: named.collect(), left_out }
     }
 
@@ -88,6 +97,21 @@
         Ok(true)
     }
 
+    /// Leaves a zone for the operators, or returns to it; false if there is no such zone. An error as with cordons.
+    pub fn zone(&self, name: &str, out: bool) -> io::Result<bool> {
+        self.look();
+        let mut cordons = self.cordons.borrow_mut();
+        let key = format!("{ZONE}{name}");
+        if !cordons.knows(&key) && !self.driver.knows_zone(name) {
+            return Ok(false);
+        }
+        if cordons.out(&key) != out {
+            self.pass_on(&key, Word { out, at: self.driver.clock.now().0 });
+            cordons.say(&key, out)?;
+        }
+        Ok(true)
+    }
+
     /// Takes in what the operators have said to another process of this agent.
     pub fn look(&self) {
         for (name, word) in self.cordons.borrow_mut().look() {
@@ -96,6 +120,10 @@
     }
 
     fn pass_on(&self, name: &str, word: Word) {
+        if let Some(zone) = name.strip_prefix(ZONE) {
+            tracing::info!(target: "staff", zone, "the zone is {}", if word.out { "left" } else { "returned to" });
+            return self.driver.zone(zone, word.out, Time(word.at));
+        }
         tracing::info!(target: "staff", "{name:.80} is {}", if word.out { "cordoned" } else { "back" });
         self.driver.cordon(name, word.out, Time(word.at));
     }
--- a/agent/tests/operator.rs
+++ b/agent/tests/operator.rs
@@ -180,3 +180,25 @@
     let sends = [near, far].iter().map(|zone| zone["sends"].as_u64().expect("a count")).sum::<u64>();
     assert_eq!(agent.counters().await["sends"], sends);
 }
+
+#[tokio::test]
+async fn a_zone_is_left_and_returned_to_by_its_name() {
+    let near = Backend::start(|_| Reply::Bytes(ok("near"))).await;
+    let far = Backend::start(|_| Reply::Bytes(ok("far"))).await;
+    let mut away = host("far", far.address, "up");
+    away["site"] = "b".into();
+    let directory = Directory::start(Mood::Mute).await;
+    let agent = operated(&[host("near", near.address, "up"), away], &directory).await;
+    soon("both", async { while agent.get("/read").await.body != b"far" {} }).await;
+    for call in ["zone", "zone leave", "zone leave c", "zone b", "zone go b", "zone leave a b"] {
+        assert!(agent.call(call).await.starts_with("error "), "{call}");
+    }
+    assert_eq!(agent.call("zone leave b").await, "done\n");
+    for _ in 0..30 {
+        assert_eq!(agent.get("/read").await.body, b"near");
+    }
+    let zones = agent.figures("zones").await;
+    assert_eq!((&zones["zones"][0]["left"], &zones["zones"][1]["left"]), (&json!(false), &json!(true)));
+    assert_eq!(agent.call("zone return b").await, "done\n");
+    soon("the return", async { while agent.get("/read").await.body != b"far" {} }).await;
+}
--- a/control/src/cli.rs
+++ b/control/src/cli.rs
@@ -72,6 +72,14 @@
         /// Its name on the server list
         renderer: String,
     },
+    /// Leave a zone at all agents, or return to it
+    Zone {
+        /// What to do
+        #[arg(value_parser = ["leave", "return"])]
+        word: String,
+        /// Its name on the server list
+        zone: String,
+    },
     /// Print completions for a shell
     Completions {
         /// Which shell
@@ -151,6 +159,9 @@
         }
         Command::Cordon { renderer } => say_to_all(cli, &agents, limit, "cordon", renderer, out).await,
         Command::Uncordon { renderer } => say_to_all(cli, &agents, limit, "uncordon", renderer, out).await,
+        Command::Zone { word, zone } => {
+            say_to_all(cli, &agents, limit, &format!("zone {word}"), zone, out).await
+        }
         Command::Completions { .. } => Ok(ALL_YES),
     }
 }
@@ -165,7 +176,7 @@
 ) -> Result<u8, String> {
     // A call is words on one line: such a name would be another call.
     if renderer.is_empty() || renderer.contains(|c: char| c.is_whitespace() || c.is_control()) {
-        return Err(format!("{renderer:?} is no renderer's name; one without spaces was expected"));
+        return Err(format!("{renderer:?} is no name; one without spaces was expected"));
     }
     let answers = say::done(agents, limit, &format!("{word} {renderer}")).await;
     let page =
--- a/control/src/print.rs
+++ b/control/src/print.rs
@@ -153,6 +153,7 @@
         ] {
             *most = one.max(*most);
         }
+        sum.left |= zone.left;
         sum.limit += zone.limit;
         for (total, one) in [
             (&mut sum.in_flight, zone.in_flight),
@@ -187,7 +188,8 @@
             [zone.listed, zone.serving, zone.cordoned, zone.doubted, zone.cold].map(|n| n.to_string());
         let counts =
             [zone.in_flight, zone.sends, zone.answered, zone.failed, zone.rejected].map(|n| n.to_string());
-        let name = if zone.zone.is_empty() { "?".to_owned() } else { zone.zone.clone() };
+        let name = if zone.zone.is_empty() { "?" } else { &zone.zone };
+        let name = if zone.left { format!("{name} (left)") } else { name.to_owned() };
         let cells = [name].into_iter().chain(figures).chain([format!("{:.1}", zone.limit)]).chain(counts);
         rows.add_row(cells);
     }
@@ -294,7 +296,12 @@
         column.set_cell_alignment(CellAlignment::Left);
     });
     page.push_str(&finish(&rows));
-    let other = if word == "cordon" { "uncordon" } else { "cordon" };
+    let other = match word {
+        "cordon" => "uncordon",
+        "uncordon" => "cordon",
+        "zone leave" => "zone return",
+        _ => "zone leave",
+    };
     page.push_str(&format!(
         "To go on: call `{word} {id}` again, which changes nothing where it is done; or take it back with `{other} {id}`.\n"
     ));
--- a/src/api.rs
+++ b/src/api.rs
@@ -700,6 +700,19 @@
         /// When they did.
         at: Time,
     },
+    /// The operators leave a zone until they return to it: nothing new goes to any server that the list has there, now or
+    /// later.
+    LeaveZone {
+        /// The zone.
+        zone: ZoneId,
+    },
+    /// They return to it. All balancers do so at once, so each of its servers counts as cold from then on.
+    ReturnZone {
+        /// The zone.
+        zone: ZoneId,
+        /// When they did.
+        at: Time,
+    },
     /// Another balancer's message.
     PeerMessage {
         /// Who sent it.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -224,6 +224,22 @@
             Event::Learned(lessons) => self.take_over(now, lessons),
             Event::Cordon { server } => self.cordon(now, server, out),
             Event::Uncordon { server, at } => self.uncordon(now, server, at, out),
+            Event::LeaveZone { zone } => {
+                if self.left.insert(zone) {
+                    self.of_zone(zone, |s| out.push(Action::CloseIdle { server: s.listed.server }));
+                    self.reopen(now, out);
+                }
+            }
+            Event::ReturnZone { zone, at } => {
+                if self.left.remove(&zone) {
+                    // What was learned stands; but all balancers return in the same moment.
+                    self.of_zone(zone, |s| s.returned = Some(at));
+                    let there = |i: &usize| self.servers[*i].listed.zone == zone;
+                    let there: Vec<usize> = (0..self.servers.len()).filter(there).collect();
+                    there.into_iter().for_each(|i| self.try_again(i, at));
+                    self.reopen(now, out);
+                }
+            }
         }
     }
 
@@ -988,7 +1004,8 @@
         let mut listed = false;
         for s in &mut self.servers {
             let serving = s.listed.status == Status::Serving;
-            s.open = serving && !self.cordoned.contains(&s.listed.server);
+            let held_back = self.cordoned.contains(&s.listed.server) || self.left.contains(&s.listed.zone);
+            s.open = serving && !held_back;
             listed |= serving;
         }
         let servers = &self.servers;
@@ -1055,18 +1072,27 @@
             return;
         }
         let Some(&i) = self.index.get(&server) else { return };
-        let chance = TRIES_MOST / f64::from(self.settings.balancers.max(1));
-        let by = at + TRY_WITHIN * self.rng.f64();
         let s = &mut self.servers[i];
         s.renew(s.listed.clone(), LIMIT_FIRST, now);
         s.returned = Some(at);
+        self.try_again(i, at);
+        out.push(Action::CloseIdle { server });
+        self.reopen(now, out);
+    }
+
+    /// One that was out of use is to be tried soon, by a few of all balancers.
+    fn try_again(&mut self, i: usize, at: Time) {
+        let chance = TRIES_MOST / f64::from(self.settings.balancers.max(1));
+        let by = at + TRY_WITHIN * self.rng.f64();
         if self.rng.f64() < chance {
-            s.try_by = Some(by);
+            self.servers[i].try_by = Some(by);
             self.untried.retain(|&u| u != i);
             self.untried.push(i);
         }
-        out.push(Action::CloseIdle { server });
-        self.reopen(now, out);
+    }
+
+    fn of_zone(&mut self, zone: ZoneId, each: impl FnMut(&mut Server)) {
+        self.servers.iter_mut().filter(|s| s.listed.zone == zone).for_each(each);
     }
 
     fn set_tick(&mut self, now: Time, after: Span, out: &mut Vec<Action>) {
--- a/src/records.rs
+++ b/src/records.rs
@@ -232,6 +232,8 @@
     pub(crate) near: Vec<usize>,
     /// Servers that the operators have taken out of use; beside the list, which must not lift a cordon.
     pub(crate) cordoned: BTreeSet<ServerId>,
+    /// Zones that the operators have left.
+    pub(crate) left: BTreeSet<ZoneId>,
     /// Cordons leave nothing of the list to send to.
     pub(crate) shut: bool,
     /// Servers brought back that are still to be tried.
@@ -287,6 +289,7 @@
             serving: Vec::new(),
             near: Vec::new(),
             cordoned: BTreeSet::new(),
+            left: BTreeSet::new(),
             shut: false,
             untried: Vec::new(),
             asking: Vec::new(),
--- a/tests/near.rs
+++ b/tests/near.rs
@@ -58,3 +58,32 @@
     let stayed = (0..400).filter(|_| near(rig.ask_and_answer(20.0))).count();
     assert!((60..=140).contains(&stayed), "{stayed} of 400 stayed in the zone");
 }
+
+/// The operators leave a zone and return to it: nothing new goes there meanwhile, also to a server that is listed later,
+/// and after that its servers are cold for as long as after a start.
+#[test]
+fn a_zone_that_was_left_gets_nothing_and_comes_back_slowly() {
+    let settings = Settings { classes: vec![class(Effect::Idempotent)], ..Settings::default() };
+    let warm_after = settings.warm_after;
+    let mut rig = Rig::new(settings, 4);
+    rig.list(fleet(8, 2, 1));
+    let there = |rig: &mut Rig| {
+        let sent = |rig: &mut Rig| rig.ask_and_answer(5.0).is_some_and(|server| server.0 % 2 == 1);
+        (0..200).filter(|_| sent(rig)).count()
+    };
+    assert!(there(&mut rig) > 20);
+    let zone = ZoneId(1);
+    rig.tell(Event::LeaveZone { zone });
+    rig.tell(Event::LeaveZone { zone });
+    rig.tell(Event::List(ListUpdate::Changes(vec![Listed { zone, ..Listed::serving(ServerId(9)) }])));
+    assert_eq!(there(&mut rig), 0);
+    let at = rig.now;
+    rig.tell(Event::ReturnZone { zone, at });
+    let cold = |rig: &Rig| rig.balancer.views(rig.now).iter().filter(|view| view.warmth < 1.0).count();
+    assert_eq!(cold(&rig), 5);
+    rig.wait(warm_after);
+    rig.wait(Span::from_ms(1.0));
+    assert_eq!(cold(&rig), 0);
+    assert!(there(&mut rig) > 20);
+    rig.assert_rules();
+}
