Look once for each near draw, so that an overload does not pay for them

One look for each near draw finds an idle near server nearly as often and costs three looks at most.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -510,7 +510,8 @@
         let near = if crossing { NEAR_DRAWS } else { 0 };
         for (of_near, draws) in [(true, near), (false, draws)] {
             let most = found.len() + draws;
-            for _ in 0..4 * draws {
+            let looks = if of_near { draws } else { 4 * draws };
+            for _ in 0..looks {
                 let pool = if of_near { &self.near } else { &self.serving };
                 if found.len() >= most || pool.is_empty() {
                     break;
