Find a silent watch out before what it misses counts as told

The watch waited 5 s and was held for silent 2.5 s after that, at 7.5 s, and the pause before the next one came on top. So the constants were at fault, WAIT and MUTE in renderers/discovery.rs.

Where calls are work for a discovery that all share the wait stays at 5 s. A connect to discovery has the connect timeout of the settings; before, one that never came up held the agent for the whole wait.

Ruled out: a list that was applied late (0.5 ms from the new call to its answer), and sends on old connections.

--- a/agent/src/driver/mod.rs
+++ b/agent/src/driver/mod.rs
@@ -67,11 +67,12 @@
         let effects = config.settings.classes.iter().map(|c| c.effect).collect();
         let figures = Figures::new(config.names.classes.len());
         let budget = Rc::new(Budget::of(config.memory_mb, config.shared));
+        let connect_timeout = Duration::from_micros(config.names.connect_timeout.0);
         let upstream = Rc::new(Upstream::new(
             connections,
             figures.clone(),
             budget.clone(),
-            Duration::from_micros(config.names.connect_timeout.0),
+            connect_timeout,
             Duration::from_micros(config.names.keepalive.0),
             config.names.report_fields.clone(),
         ));
@@ -83,7 +84,7 @@
             queue: Queue::new(balancer, clock),
             requests: Requests::new(Log::new(clock.origin)),
             servers: Servers::default(),
-            discovery: Discovery::new(config.discovery),
+            discovery: Discovery::new(config.discovery, pushed, connect_timeout),
         };
         let driver = Rc::new(Driver {
             clock,
--- a/agent/src/renderers/discovery.rs
+++ b/agent/src/renderers/discovery.rs
@@ -15,12 +15,20 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
-use tokio::time::Instant;
+use tokio::time::{timeout, Instant};
 
-/// How long a watch waits for news. Short enough that a mute discovery is found out soon.
-const WAIT: Duration = Duration::from_millis(5_000);
-/// A call that has said nothing this long after it should have is mute: discovery is down or cut off.
-const MUTE: Duration = Duration::from_millis(2_500);
+/// What a watch that has fallen silent misses counts as told this long after that (the operators' standing page), or,
+/// if that is later, so long after its wait is over. By then another watch must have brought it.
+const TOLD_AFTER_SILENCE: Duration = Duration::from_secs(6);
+const TOLD_AFTER_WAIT: Duration = Duration::from_secs(2);
+/// A call that has said nothing this long after it should have is silent: half of the time for finding that out, the
+/// other half for opening a watch anew.
+const SILENT: Duration = TOLD_AFTER_WAIT.checked_div(2).unwrap();
+/// How long a watch waits for news where a call costs nobody anything: so short that a watch that falls silent, and
+/// the one in its place as well, are found out before what both miss counts as told.
+const WAIT_PUSHED: Duration = TOLD_AFTER_SILENCE.checked_div(2).unwrap().saturating_sub(SILENT);
+/// And where each call is work for a discovery that all share: what is missed counts from the end of its wait.
+const WAIT_ASKED: Duration = Duration::from_secs(5);
 /// The longest list that is read.
 const LIST_MOST: usize = 4 << 20;
 
@@ -29,15 +37,27 @@
 
 /// The calls to discovery; at most one watch and one call for the whole list at a time.
 pub struct Discovery {
-    address: SocketAddr,
+    place: Place,
     watch: Option<JoinHandle<()>>,
     fetch: Option<JoinHandle<()>>,
 }
 
+/// Where discovery is and how it is called.
+#[derive(Clone, Copy)]
+struct Place {
+    address: SocketAddr,
+    /// How long a watch waits for news.
+    wait: Duration,
+    /// A connection that is still not made after this has failed.
+    connect_timeout: Duration,
+}
+
 impl Discovery {
-    /// Knows where discovery is; calls nobody yet.
-    pub fn new(address: SocketAddr) -> Self {
-        Discovery { address, watch: None, fetch: None }
+    /// Knows where discovery is, and whether its news are pushed, so that calls cost nothing; calls nobody yet.
+    pub fn new(address: SocketAddr, pushed: bool, connect_timeout: Duration) -> Self {
+        let wait = if pushed { WAIT_PUSHED } else { WAIT_ASKED };
+        let place = Place { address, wait, connect_timeout: connect_timeout.min(SILENT) };
+        Discovery { place, watch: None, fetch: None }
     }
 
     /// Begins a watch for what is newer than `seq`, or with the whole list, or ends the one there is.
@@ -46,15 +66,14 @@
             watch.abort();
         }
         if active {
-            let watch = watch(self.address, news.clone(), seq);
+            let watch = watch(self.place, news.clone(), seq);
             self.watch = Some(tokio::task::spawn_local(watch));
         }
     }
 
-    /// Calls another address from now on. What is on at the old one ends; a watch begins anew with the whole
-    /// list, as nobody says that both count versions alike.
+    /// Calls another address from now on. What is on at the old one ends; a watch begins anew with the whole list.
     pub fn moved(&mut self, news: &News, address: SocketAddr) {
-        self.address = address;
+        self.place.address = address;
         let fetching = self.fetch.take().is_some_and(|fetch| {
             fetch.abort();
             !fetch.is_finished()
@@ -71,24 +90,26 @@
         if self.fetch.as_ref().is_some_and(|f| !f.is_finished()) {
             return;
         }
-        let (address, news) = (self.address, news.clone());
+        let (place, news) = (self.place, news.clone());
         self.fetch = Some(tokio::task::spawn_local(async move {
             let mut connection = None;
-            news(call(address, &mut connection, "/v1/endpoints", Duration::ZERO).await);
+            news(call(place, &mut connection, "/v1/endpoints", Duration::ZERO).await);
         }));
     }
 }
 
 /// Calls again as soon as the last call is answered, until one fails: then the watch is over, the balancer is
 /// told, and begins another when it sees fit.
-async fn watch(address: SocketAddr, news: News, mut seq: Option<u64>) {
+async fn watch(place: Place, news: News, mut seq: Option<u64>) {
     let mut connection = None;
     loop {
         let (path, wait) = match seq {
-            Some(seq) => (format!("/v1/endpoints?after={seq}&wait_ms={}", WAIT.as_millis()), WAIT),
+            Some(seq) => {
+                (format!("/v1/endpoints?after={seq}&wait_ms={}", place.wait.as_millis()), place.wait)
+            }
             None => ("/v1/endpoints".to_owned(), Duration::ZERO),
         };
-        let answer = call(address, &mut connection, &path, wait).await;
+        let answer = call(place, &mut connection, &path, wait).await;
         let failed = answer.is_none();
         if let Some(list) = &answer {
             seq = Some(list.seq);
@@ -112,17 +133,13 @@
 }
 
 /// One call; `None` if it failed in any way. The connection is kept for the next call only if all went well.
-async fn call(
-    address: SocketAddr,
-    kept: &mut Option<Connection>,
-    path: &str,
-    wait: Duration,
-) -> Option<List> {
+async fn call(place: Place, kept: &mut Option<Connection>, path: &str, wait: Duration) -> Option<List> {
     let mut connection = kept.take();
     let (asked, reached, answered) = (Instant::now(), Cell::new(false), Cell::new(None));
     let exchange = async {
         if connection.as_mut().is_none_or(|(sender, _)| sender.is_closed()) {
-            let stream = TcpStream::connect(address).await.ok()?;
+            let stream =
+                timeout(place.connect_timeout, TcpStream::connect(place.address)).await.ok()?.ok()?;
             // It spares waits; a connection without it is good all the same.
             let _ = stream.set_nodelay(true);
             let (sender, driven) = handshake(TokioIo::new(stream)).await.ok()?;
@@ -135,7 +152,7 @@
         reached.set(true);
         let (sender, _) = connection.as_mut()?;
         sender.ready().await.ok()?;
-        let request = Request::get(path).header("host", address.to_string()).body(Empty::new()).ok()?;
+        let request = Request::get(path).header("host", place.address.to_string()).body(Empty::new()).ok()?;
         let response = sender.send_request(request).await.ok()?;
         answered.set(Some(response.status()));
         if response.status() != StatusCode::OK {
@@ -145,7 +162,7 @@
         parse_list(&serde_json::from_slice(&body).ok()?)
     };
     // A cut-off discovery leaves its connection open and mute: no answer in time is a failure like any other.
-    let answer = tokio::time::timeout(wait + MUTE, exchange).await.ok().flatten();
+    let answer = timeout(wait + SILENT, exchange).await.ok().flatten();
     let after = asked.elapsed().as_secs_f64() * 1e3;
     match &answer {
         // A watch that had nothing to tell says nothing here either.
--- /dev/null
+++ b/agent/tests/watches.rs
@@ -0,0 +1,50 @@
+//! Where the list's news and a watch's end can cross: silence, moves, and what comes late.
+
+mod common;
+use common::*;
+use std::time::{Duration, Instant};
+
+/// What the operators' standing page says of a watch that falls silent: what it misses counts as told so long after
+/// that, or, where that is later, so long after its wait is over.
+const TOLD_AFTER_SILENCE: Duration = Duration::from_secs(6);
+const TOLD_AFTER_WAIT: Duration = Duration::from_secs(2);
+
+fn wait_of(call: &str) -> Duration {
+    let wait = call.split("wait_ms=").nth(1).and_then(|ms| ms.parse().ok());
+    Duration::from_millis(wait.unwrap_or_else(|| panic!("{call} is no watch")))
+}
+
+/// Whether a watch falls silent in its first call or on a kept connection, another one has brought what it missed
+/// before that counts as told.
+#[tokio::test]
+async fn news_missed_by_a_silent_watch_come_before_they_count_as_told() {
+    let play = |discovery: &'static str, answered: bool| async move {
+        let stays = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+        let mut leaves = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+        let hosts = |health| [host("stays", stays.address, "up"), host("leaves", leaves.address, health)];
+        let mut directory = Directory::start(Mood::Mute).await;
+        if answered {
+            directory.list(2, &hosts("up"));
+        }
+        let mut config = config(directory.address, &hosts("up"));
+        config["settings"]["discovery"] = discovery.into();
+        let agent = Agent::with(config, |_| {}).await;
+        let mut watch = directory.next_call().await;
+        if answered {
+            watch = directory.next_call().await;
+        }
+        let silent = Instant::now();
+        directory.forget_open_calls();
+        directory.list(3, &hosts("draining"));
+        directory.next_call().await;
+        // The call after that says that the answer has been taken in.
+        directory.next_call().await;
+        let told = TOLD_AFTER_SILENCE.max(wait_of(&watch) + TOLD_AFTER_WAIT);
+        assert!(silent.elapsed() < told, "{discovery}: {:?} of {told:?}", silent.elapsed());
+        for _ in 0..12 {
+            assert_eq!(agent.get("/read").await.status(), 200);
+        }
+        assert!(leaves.seen.try_recv().is_err(), "{discovery}: sent to one that drains");
+    };
+    tokio::join!(play("pushed", false), play("pushed", true), play("on_request", false));
+}
--- a/lab/src/scripted.rs
+++ b/lab/src/scripted.rs
@@ -181,6 +181,7 @@
     pub mood: watch::Sender<Mood>,
     /// The calls that came.
     pub calls: mpsc::Receiver<String>,
+    silenced: watch::Sender<u64>,
 }
 
 impl Directory {
@@ -190,10 +191,11 @@
         let address = listener.local_addr().expect("an address");
         let (tell, calls) = mpsc::channel(1024);
         let mood = watch::Sender::new(mood);
-        let moods = mood.clone();
+        let (moods, silenced) = (mood.clone(), watch::Sender::new(0));
+        let silences = silenced.clone();
         tokio::spawn(async move {
             while let Ok((mut stream, _)) = listener.accept().await {
-                let (tell, mut mood) = (tell.clone(), moods.subscribe());
+                let (tell, mut mood, mut silent) = (tell.clone(), moods.subscribe(), silences.subscribe());
                 tokio::spawn(async move {
                     while let Some(message) = read_message(&mut stream, 0).await {
                         let path = message.first_line().split(' ').nth(1).unwrap_or_default().to_owned();
@@ -204,7 +206,11 @@
                             (Mood::List(list), Some(after)) => list["seq"].as_u64() > Some(after),
                             _ => true,
                         };
-                        let now = mood.wait_for(newer).await.expect("a mood").clone();
+                        let now = tokio::select! {
+                            biased;
+                            _ = silent.changed() => Mood::Mute,
+                            now = mood.wait_for(newer) => now.expect("a mood").clone(),
+                        };
                         let reply = match now {
                             Mood::List(list) => ok(&list.to_string()),
                             Mood::Down => b"HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n".to_vec(),
@@ -217,7 +223,12 @@
                 });
             }
         });
-        Directory { address, mood, calls }
+        Directory { address, mood, calls, silenced }
+    }
+
+    /// Never answers the calls that are open now: their connections stay, and say nothing more.
+    pub fn forget_open_calls(&self) {
+        self.silenced.send_modify(|times| *times += 1);
     }
 
     /// Has this list from now on.
