Ask a discovery that has moved for the whole list until it has given one

Crossing, found by reading: SIGHUP moves discovery while the module pauses after a failed call. The move asks the new place for the whole list; then the pause ends, and the watch that the module begins aborts that call and asks the new place for what is newer than the old place's version. Where the two count differently, nothing ever is: the agent keeps the old list. The version held now goes with the place that gave it (driver/servers.rs, driver/mod.rs).

The test forces the order: the new place is silent past the pause. Without this its second call was "/v1/endpoints?after=1&wait_ms=5000".

--- a/agent/src/driver/mod.rs
+++ b/agent/src/driver/mod.rs
@@ -359,7 +359,10 @@
 
     /// Discovery is at another address from now on.
     pub fn discovery_moved(self: &Rc<Self>, address: SocketAddr) {
-        self.state.borrow_mut().discovery.moved(&self.news(), address);
+        let mut state = self.state.borrow_mut();
+        // Nobody says that both count versions alike.
+        state.servers.seq = None;
+        state.discovery.moved(&self.news(), address);
     }
 
     /// Wakes the balancer when a timer is due, and looks after idle connections; never ends.
@@ -426,7 +429,7 @@
             Action::CloseIdle { server } => self.upstream.close_idle(server),
             Action::Follow { active } => {
                 let seq = state.servers.seq;
-                state.discovery.follow(&self.news(), active, Some(seq));
+                state.discovery.follow(&self.news(), active, seq);
             }
             Action::FetchList => state.discovery.fetch(&self.news()),
             // Agents of this deployment have no way to talk to each other, and the settings say so.
--- a/agent/src/driver/servers.rs
+++ b/agent/src/driver/servers.rs
@@ -21,8 +21,8 @@
     up: HashSet<ServerId>,
     /// The attempts at servers that have left the list, by zone.
     left: BTreeMap<String, Attempts>,
-    /// The version of the list.
-    pub seq: u64,
+    /// The version of the list, as the discovery that is called now counts; none before its first list.
+    pub seq: Option<u64>,
 }
 
 /// Zones past this many are counted as one without a name.
@@ -78,7 +78,7 @@
         names: &Names,
         mut describe: impl FnMut(ServerId, &Host),
     ) -> Vec<Listed> {
-        self.seq = list.seq;
+        self.seq = Some(list.seq);
         let mut lines = Vec::with_capacity(list.hosts.len());
         if list.whole {
             self.up.clear();
--- a/agent/tests/watches.rs
+++ b/agent/tests/watches.rs
@@ -48,3 +48,21 @@
     };
     tokio::join!(play("pushed", false), play("pushed", true), play("on_request", false));
 }
+
+/// An answer of the place that discovery has left says nothing of its new place's versions: a call after the move
+/// asks for the whole list, also when the move finds the agent between two calls.
+#[tokio::test]
+async fn after_a_move_the_whole_list_comes_first_whatever_was_pending() {
+    let new = Backend::start(|_| Reply::Bytes(ok("new"))).await;
+    let mut before = Directory::start(Mood::Down).await;
+    // Nobody answers here until the module's pause after the last failure is long over.
+    let mut after = Directory::start(Mood::Mute).await;
+    let known = host("old", nobody().await, "up");
+    let agent = Agent::with(config(before.address, &[known]), |_| {}).await;
+    before.next_call().await;
+    agent.reconfigure(&config(after.address, &[]).to_string()).await;
+    assert_eq!(after.next_call().await, "/v1/endpoints");
+    assert_eq!(after.next_call().await, "/v1/endpoints", "before any list has come from the new place");
+    after.list(1, &[host("new", new.address, "up")]);
+    soon("the new list", async { while agent.get("/read").await.body != b"new" {} }).await;
+}
