Ask the module again directly before an attempt's first byte

A repeat was allowed by the time of the decision, and up to the connect timeout (250 ms) lay between that and its first byte. Drains cross the same way.

A remedy for the whole crossing: where the first byte would go out, and nowhere else (renderers/upstream.rs), the module is asked once more (Balancer::may_begin): is the server still open, the request still owed, the window still open? If not, the attempt was not sent, its connection is kept for another, and the module decides anew. Bookkeeping of `remember` moved to records.rs for room in the decisions.

Tests on real connections whose connect stays under way until the test makes room: both fail without the question. Ruled out: a repeat in another cell (the cell is kept with the attempt), a cancelled attempt still on the wire (its connection is closed before the next attempt's task runs).

--- a/agent/src/driver/mod.rs
+++ b/agent/src/driver/mod.rs
@@ -465,7 +465,11 @@
                     Some(upload) => sleep_until(upload.whole().await + wait).await,
                 }
             };
-            let ended = driver.upstream.attempt(server, outgoing, over, &progress).await;
+            let may_begin = || {
+                let balancer = &driver.state.borrow().queue.balancer;
+                balancer.may_begin(driver.clock.now(), request, AttemptNo(attempt))
+            };
+            let ended = driver.upstream.attempt(server, outgoing, may_begin, over, &progress).await;
             let since = upload.and_then(|upload| upload.whole_at()).map_or(sent, |whole| whole.max(sent));
             driver.ended((request, attempt), server, ended, since);
         });
--- a/agent/src/renderers/upstream.rs
+++ b/agent/src/renderers/upstream.rs
@@ -356,11 +356,13 @@
         }
     }
 
-    /// Sends an attempt and waits for its end, until its time is over at the longest.
+    /// Sends an attempt and waits for its end, until its time is over at the longest. Directly before its first byte
+    /// `may_begin` is asked: a connection takes its time to come up, and what was decided before may hold no more.
     pub async fn attempt(
         self: &Rc<Self>,
         server: ServerId,
         mut request: Request<Outgoing>,
+        may_begin: impl FnOnce() -> bool,
         over: impl Future<Output = ()>,
         progress: &Progress,
     ) -> Ended {
@@ -374,6 +376,10 @@
                 self.park(connection);
                 return Err((None, "called off".to_owned()));
             }
+            if !may_begin() {
+                self.park(connection);
+                return Err((Some(Outcome::NotSent), "too late to begin".to_owned()));
+            }
             let length = length(&request).map_or(u64::MAX, |length| connection.wire.written.get() + length);
             let whole = Goal::new(Cell::new(length));
             *progress.wire.borrow_mut() = Some((connection.wire.clone(), whole.clone()));
@@ -634,7 +640,8 @@
             let request =
                 Request::get("/a").header("host", "s").body(Outgoing::default()).expect("a request");
             let progress = Progress::default();
-            let attempt = upstream.attempt(ServerId(1), request, tokio::time::sleep(wait), &progress);
+            let attempt =
+                upstream.attempt(ServerId(1), request, || true, tokio::time::sleep(wait), &progress);
             let ended = tokio::task::LocalSet::new().run_until(attempt).await;
             assert_eq!(ended.outcome, outcome, "with {places} places");
         }
--- a/agent/tests/attempts.rs
+++ b/agent/tests/attempts.rs
@@ -2,6 +2,7 @@
 
 mod common;
 use common::*;
+use serde_json::json;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -214,17 +215,9 @@
 /// that takes no connection until its backlog has room.
 #[tokio::test]
 async fn nothing_goes_out_for_a_client_that_left_while_connecting() {
-    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
-    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
-    let listener = socket.listen(1).expect("a listener");
-    let address = listener.local_addr().expect("an address");
-    // Two fill the backlog of one; a third connect stays under way until they are taken.
-    let mut fillers = Vec::new();
-    for _ in 0..2 {
-        fillers.push(tokio::net::TcpStream::connect(address).await.expect("a place in the backlog"));
-    }
+    let choked = Choked::start().await;
     let directory = Directory::start(Mood::Mute).await;
-    let mut config = config(directory.address, &[host("s", address, "up")]);
+    let mut config = config(directory.address, &[host("s", choked.address, "up")]);
     config["settings"]["limits"]["connectTimeoutMs"] = 10_000.into();
     let agent = Agent::with(config, |_| {}).await;
     let mut client = agent.client().await;
@@ -232,11 +225,8 @@
     tokio::time::sleep(Duration::from_millis(100)).await;
     drop(client);
     tokio::time::sleep(Duration::from_millis(100)).await;
-    // Now there is room: the connect comes up (the kernel tries again within a second or so) and waits unused.
-    for _ in 0..2 {
-        soon("a filler", listener.accept()).await.expect("a filler");
-    }
-    let (mut stream, _) = soon("the agent's connection", listener.accept()).await.expect("a connection");
+    // The connect comes up and waits unused.
+    let mut stream = choked.next().await;
     // It serves the next request, so the first one's bytes would have come before these.
     let mut client = agent.client().await;
     client.send(&request("GET", "/read/next", "60000m", "")).await;
@@ -244,6 +234,66 @@
     assert_eq!(message.first_line(), "GET /read/next HTTP/1.1");
 }
 
+/// A request that has been decided on, and whose connect is still under way.
+async fn connecting(agent: &Agent, path: &str) -> Client {
+    let mut client = agent.client().await;
+    client.send(&request(if path == "/read" { "GET" } else { "POST" }, path, "60000m", "")).await;
+    soon("the request", async { while agent.counters().await["current"] != 1 {} }).await;
+    client
+}
+
+/// Between the choice of a server and the first byte lies a connect, and the list may say meanwhile that the server
+/// leaves: then nothing begins there, however well the connection came up.
+#[tokio::test]
+async fn nothing_begins_at_a_server_that_drains_by_the_time_its_connection_is_up() {
+    let (choked, other) = (Choked::start().await, Backend::start(|_| Reply::Bytes(ok("other"))).await);
+    let mut directory = Directory::start(Mood::List(json!({"seq": 1, "whole": true, "hosts": []}))).await;
+    let mut config = config(directory.address, &[host("s", choked.address, "up")]);
+    config["settings"]["limits"]["connectTimeoutMs"] = 10_000.into();
+    config["operator"] = "127.0.0.1:0".into();
+    let agent = Agent::with(config, |_| {}).await;
+    directory.next_call().await;
+    let mut client = connecting(&agent, "/pay").await;
+    directory.list(2, &[host("s", choked.address, "draining"), host("other", other.address, "up")]);
+    // The next call says that the list has been taken in.
+    directory.next_call().await;
+    let mut stream = choked.next().await;
+    assert_eq!(client.answer().await.body, b"other");
+    assert!(soon("the end", read_message(&mut stream, 0)).await.is_none(), "sent to one that drains");
+}
+
+/// Renderers forget a key when its window is over. A repeat that was decided on in time and whose connection comes up
+/// after that would run a second time.
+#[tokio::test]
+async fn no_repeat_begins_after_its_window() {
+    const WINDOW: Duration = Duration::from_millis(1200);
+    let word = Arc::new(Notify::new());
+    let gate = word.clone();
+    let mut first = Backend::start(move |_| Reply::When(gate.clone(), b"\0\r\n\r\n".to_vec())).await;
+    let choked = Choked::start().await;
+    let mut directory = Directory::start(Mood::List(json!({"seq": 1, "whole": true, "hosts": []}))).await;
+    let mut config = config(directory.address, &[host("first", first.address, "up")]);
+    config["settings"]["limits"]["connectTimeoutMs"] = 10_000.into();
+    config["settings"]["classes"][1]["dedupWindowMs"] = (WINDOW.as_millis() as u64).into();
+    config["operator"] = "127.0.0.1:0".into();
+    let agent = Agent::with(config, |_| {}).await;
+    directory.next_call().await;
+    let mut client = connecting(&agent, "/save").await;
+    let sent = Instant::now();
+    first.next().await;
+    directory.list(2, &[host("first", first.address, "draining"), host("second", choked.address, "up")]);
+    directory.next_call().await;
+    word.notify_one();
+    // The window is a time of the settings, and it has to go by.
+    tokio::time::sleep((WINDOW * 2).saturating_sub(sent.elapsed())).await;
+    let mut stream = choked.next().await;
+    assert_eq!(client.answer().await.status(), 429, "a keyed request whose group is all may be tried again");
+    // The connection serves the next request, so the repeat's bytes would have come before these.
+    agent.client().await.send(&request("GET", "/read/next", "60000m", "")).await;
+    let message = soon("the next request", read_message(&mut stream, 0)).await.expect("a request");
+    assert_eq!(message.first_line(), "GET /read/next HTTP/1.1");
+}
+
 /// What the balancer gives up is answered at once, and a client that the settings allow advice is told when to
 /// come back.
 #[tokio::test]
--- a/agent/tests/common/mod.rs
+++ b/agent/tests/common/mod.rs
@@ -10,7 +10,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::process::{Child, Command};
 use tokio::sync::mpsc;
 
@@ -50,6 +50,36 @@
     command
 }
 
+/// A listener to which a connect stays under way until the test takes it: its backlog is full.
+pub struct Choked {
+    pub address: SocketAddr,
+    listener: TcpListener,
+    fillers: Vec<TcpStream>,
+}
+
+impl Choked {
+    pub async fn start() -> Self {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+        let listener = socket.listen(1).expect("a listener");
+        let address = listener.local_addr().expect("an address");
+        // Two fill the backlog of one; a third connect stays under way until they are taken.
+        let mut fillers = Vec::new();
+        for _ in 0..2 {
+            fillers.push(TcpStream::connect(address).await.expect("a place in the backlog"));
+        }
+        Choked { address, listener, fillers }
+    }
+
+    /// Makes room; the connect that waits comes up, as the kernel tries again within some seconds.
+    pub async fn next(&self) -> TcpStream {
+        for _ in &self.fillers {
+            soon("a filler", self.listener.accept()).await.expect("a filler");
+        }
+        soon("the agent's connection", self.listener.accept()).await.expect("a connection").0
+    }
+}
+
 impl Agent {
     pub async fn start(directory: SocketAddr, hosts: &[Value]) -> Self {
         Self::with(config(directory, hosts), |_| {}).await
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -69,8 +69,6 @@
 const BEYOND: f64 = 1.2;
 /// A key's last server weighs this much where keys run warm: it wins unless it holds clearly more.
 const WARM: f64 = 0.7;
-/// Keys remembered; past that all are forgotten, which costs each of them one cold run.
-const KEYS_MOST: usize = 10_000;
 /// Loads that differ by less than this (as a logarithm) are alike: a quarter is well within chance.
 const ALIKE: f64 = 0.25;
 /// What an answer past its aim leaves of a server's limit.
@@ -360,6 +358,19 @@
         Lawful { send, refuse: refuse && !live.bound }
     }
 
+    /// Whether an attempt whose first byte can go out only now may still begin. While its connection came up
+    /// its server may have begun to drain, its request have ended, and the window for repeats have closed.
+    pub fn may_begin(&self, now: Time, request: RequestId, attempt: AttemptNo) -> bool {
+        let Some(live) = self.live.get(&request) else { return false };
+        let (earlier, rest) = live.attempts.split_at((attempt.0 as usize).min(live.attempts.len()));
+        let first = earlier.iter().find(|a| a.fate != Fate::NeverRan);
+        let late = match (first, self.settings.classes[live.request.class.0].effect) {
+            (Some(first), Effect::Deduplicated { window, .. }) => now > first.sent + window,
+            _ => false,
+        };
+        !late && rest.first().is_some_and(|this| self.servers[this.server].open)
+    }
+
     // ---- the pick -----------------------------------------------------------------------------------
 
     /// Sends a request to the lightest candidate, if any server is open to it; false if none is.
@@ -380,7 +391,7 @@
     /// Sends to the lightest candidate and remembers it; false if there is none.
     fn choose(&mut self, now: Time, pick: &Pick, candidates: &[usize], out: &mut Vec<Action>) -> bool {
         let Some(server) = self.lightest(now, candidates, pick) else { return false };
-        self.remember(server, pick.key);
+        self.remember(server, pick.key, self.remembered());
         self.send(now, pick, server, out);
         true
     }
@@ -603,18 +614,6 @@
         s.idle > 0 && now.since(s.idle_at) < self.settings.keepalive * 0.5
     }
 
-    fn remember(&mut self, server: usize, key: Option<KeyId>) {
-        if let Some(key) = key {
-            if self.warm_keys.len() >= KEYS_MOST {
-                self.warm_keys.clear();
-            }
-            self.warm_keys.insert(key, server);
-        }
-        self.memory.retain(|&m| m != server);
-        self.memory.insert(0, server);
-        self.memory.truncate(self.remembered());
-    }
-
     fn send(&mut self, now: Time, pick: &Pick, server: usize, out: &mut Vec<Action>) {
         let Some(live) = self.live.get_mut(&pick.id) else { return };
         if live.request.uploading {
--- a/src/records.rs
+++ b/src/records.rs
@@ -3,6 +3,8 @@
 use crate::api::*;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Keys remembered; past that all are forgotten, which costs each of them one cold run.
+const KEYS_MOST: usize = 10_000;
 /// Traffic is counted over about this many milliseconds.
 const COUNT_MS: f64 = 3000.0;
 
@@ -696,6 +698,19 @@
         self.flights.insert((pick.id, attempt), flight);
     }
 
+    /// Keeps where a request went: by its key, and among the last `most` servers.
+    pub(crate) fn remember(&mut self, server: usize, key: Option<KeyId>, most: usize) {
+        if let Some(key) = key {
+            if self.warm_keys.len() >= KEYS_MOST {
+                self.warm_keys.clear();
+            }
+            self.warm_keys.insert(key, server);
+        }
+        self.memory.retain(|&m| m != server);
+        self.memory.insert(0, server);
+        self.memory.truncate(most);
+    }
+
     /// What a pick must know of a request.
     pub(crate) fn pick_for(&self, now: Time, live: &Live) -> Pick {
         let class = live.request.class.0;
--- a/tests/no_doubled_effect.rs
+++ b/tests/no_doubled_effect.rs
@@ -102,3 +102,30 @@
     assert!(!refused(&rig.actions, id), "it may have run in the first attempt");
     rig.assert_rules();
 }
+
+/// A connection may take its time to come up. What was decided before holds at the first byte, or nothing begins.
+#[test]
+fn what_may_begin_at_its_first_byte() {
+    let window = 100.0;
+    for (effect, late) in [(Effect::Idempotent, true), (keyed(Group::All, window), false)] {
+        let settings = Settings { classes: vec![class(effect)], ..Settings::default() };
+        let mut rig = Rig::new(settings, 3);
+        rig.list(fleet(2, 1, 1));
+        let (id, _) = rig.ask(0);
+        rig.wait(Span::from_ms(5.0));
+        assert!(rig.balancer.may_begin(rig.now, id, AttemptNo(0)));
+        assert!(!rig.balancer.may_begin(rig.now, id, AttemptNo(1)), "decided on by nobody");
+        rig.answer(id, 0, Outcome::ConnectionReset, 5.0);
+        let server = rig.sent_to(id).expect("a repeat");
+        assert!(rig.balancer.may_begin(rig.now, id, AttemptNo(1)));
+        let past = rig.now + Span::from_ms(window);
+        assert_eq!(rig.balancer.may_begin(past, id, AttemptNo(1)), late, "{effect:?}");
+        let listed = |status| Listed { status, ..Listed::serving(server) };
+        rig.tell(Event::List(ListUpdate::Changes(vec![listed(Status::Draining)])));
+        assert!(!rig.balancer.may_begin(rig.now, id, AttemptNo(1)), "to one that drains");
+        rig.tell(Event::List(ListUpdate::Changes(vec![listed(Status::Serving)])));
+        assert!(rig.balancer.may_begin(rig.now, id, AttemptNo(1)));
+        rig.tell(Event::ClientGone { request: id });
+        assert!(!rig.balancer.may_begin(rig.now, id, AttemptNo(1)), "for nobody");
+    }
+}
