Hold each socket beside the HTTP library, and part from clients politely

Now a connection is closed if it rests by the pace's own record and the system has nothing to read on it (application/server.rs, converse); a fresh one waits for its first request until the door is closed. - The end of the process and a long answer: it waited for heads to be decided, and cut the body ("100079 bytes" of 200,000). Now it waits until all connections are closed, up to just before the earliest SIGKILL; a later request's wait ends by then. - The close of the listener and connections in its queue: these are taken first. - The close and bytes on their way: a reset that took the last answer along. Also a renderer's end on a resting connection and its next use: the system is asked in that moment (quiet), as the connection's task may not have run.

The way not taken: a patch at each place of hyper's. One type that both hold removes the crossings where they are. Cost: one read more a message each way. The tests of a_planned_end stay as they were; one of mine lost its client too soon.

--- a/agent/src/application/server.rs
+++ b/agent/src/application/server.rs
@@ -5,6 +5,7 @@
 use crate::renderers::upstream::{forwarded, Served};
 use crate::traffic::body::{Hold, Intake, Reply, Unread, BUFFER, KEPT_MOST, REQUEST_MOST};
 use crate::traffic::pace::{Asked, Pace, Patience, Timed};
+use crate::traffic::socket::Socket;
 use bytes::BytesMut;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -24,6 +25,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
+use tokio::task::yield_now;
 use tokio::time::{sleep_until, timeout_at, Instant};
 
 /// The part of a client's wait that is kept for writing the answer.
@@ -42,8 +44,10 @@
 enum Stay {
     /// It does.
     On,
-    /// It ends, and closes what is idle.
+    /// It ends. What rests is closed, and what has just come up has its first request answered.
     Ends,
+    /// It takes no connections any more, and closes those that have not sent anything either.
+    Closed,
     /// Another process has taken over. What is idle here may have a request on its way, which would be turned back
     /// unheard: each connection's next one is answered, and only then the connection is closed.
     HandedOver,
@@ -53,8 +57,9 @@
 pub struct Server {
     driver: Rc<Driver>,
     stay: watch::Sender<Stay>,
-    busy: Cell<usize>,
     open: Cell<usize>,
+    /// What comes from now on has to be answered by then, whatever its client would wait.
+    last: Cell<Option<Instant>>,
     places: std::sync::Arc<Semaphore>,
 }
 
@@ -64,31 +69,56 @@
         Rc::new(Server {
             driver,
             stay: watch::Sender::new(Stay::On),
-            busy: Cell::new(0),
             open: Cell::new(0),
+            last: Cell::new(None),
             places: std::sync::Arc::new(Semaphore::new(connections)),
         })
     }
 
-    /// Takes connections until it is dropped.
+    /// Takes connections until it is dropped, or until the process has closed its door.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         self.driver.accepts.set(true);
-        loop {
-            let Ok(place) = self.places.clone().acquire_owned().await else { return };
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    tokio::task::spawn_local(self.clone().connection(stream, place));
+        let mut stay = self.stay.subscribe();
+        let taken = async {
+            loop {
+                let Ok(place) = self.places.clone().acquire_owned().await else { return };
+                match listener.accept().await {
+                    Ok((stream, _)) => self.serve(stream, place),
+                    Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
                 }
-                Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+            }
+        };
+        tokio::select! {
+            () = taken => return,
+            _ = stay.wait_for(|stay| *stay == Stay::Closed) => {}
+        }
+        // What the system has accepted is the agent's, and would be reset with the listener.
+        let Ok(listener) = listener.into_std() else { return };
+        while let (Ok(place), Ok((stream, _))) = (self.places.clone().try_acquire_owned(), listener.accept())
+        {
+            if let Some(stream) =
+                stream.set_nonblocking(true).ok().and_then(|()| TcpStream::from_std(stream).ok())
+            {
+                self.serve(stream, place);
             }
         }
     }
 
-    /// Says `Connection: close` from now on and closes what is idle.
-    pub fn drain(&self) {
+    fn serve(self: &Rc<Self>, stream: TcpStream, place: OwnedSemaphorePermit) {
+        tokio::task::spawn_local(self.clone().connection(stream, place));
+    }
+
+    /// Says `Connection: close` from now on and closes what rests. All is answered by `last`.
+    pub fn drain(&self, last: Instant) {
+        self.last.set(Some(last));
         self.leave(Stay::Ends);
     }
 
+    /// Takes no more connections, and closes those from which nothing has come.
+    pub fn close(&self) {
+        self.leave(Stay::Closed);
+    }
+
     /// Answers what is open and the next request of each connection, as another process takes the new ones.
     pub fn hand_over(&self) {
         self.leave(Stay::HandedOver);
@@ -104,35 +134,49 @@
         self.open.get() > 0
     }
 
-    /// Whether any request is being read or answered.
-    pub fn busy(&self) -> bool {
-        self.busy.get() > 0
-    }
-
     async fn connection(self: Rc<Self>, stream: TcpStream, _place: OwnedSemaphorePermit) {
-        // Without it answers of one connection would wait for each other's acknowledgement. That is no reason
-        // to drop a connection that is good otherwise; one that is not shows when it is read.
-        let _ = stream.set_nodelay(true);
         let _open = Counted::one(&self.open);
+        let socket = Socket::new(stream);
+        self.clone().converse(&socket).await;
+        socket.part().await;
+    }
+
+    /// Answers what comes over a connection until it is to be closed.
+    async fn converse(self: Rc<Self>, socket: &Socket) {
         let mut stay = self.stay.subscribe();
-        let late = *stay.borrow() == Stay::Ends;
+        let late = matches!(*stay.borrow_and_update(), Stay::Ends | Stay::Closed);
         let server = self.clone();
         let pace = Pace::new();
-        let client = pace.clone();
-        let service = service_fn(move |request| server.clone().answer(request, client.head()));
+        let client = (pace.clone(), socket.clone());
+        let service =
+            service_fn(move |request| server.clone().answer(request, client.0.head(), client.1.clone()));
         let mut builder = http1::Builder::new();
         // Hyper's own time for a head would go by idle time and head together.
         builder.header_read_timeout(None).keep_alive(!late).max_buf_size(BUFFER);
-        let mut connection = pin!(builder.serve_connection(Timed::new(stream, pace.clone()), service));
-        // An error here is the client's leaving or its bad bytes; both concern this connection alone.
-        tokio::select! {
-            _ = connection.as_mut() => return,
-            () = pace.overdue() => return,
-            _ = stay.wait_for(|stay| *stay == Stay::Ends), if !late => connection.as_mut().graceful_shutdown(),
-        }
-        tokio::select! {
-            _ = connection => {}
-            () = pace.overdue() => {}
+        let mut connection =
+            pin!(builder.serve_connection(Timed::new(socket.clone(), pace.clone()), service));
+        loop {
+            // Whatever has come is heard before anything is closed. An error is the client's leaving or its bad bytes;
+            // both concern this connection alone.
+            tokio::select! {
+                biased;
+                _ = connection.as_mut() => return,
+                () = pace.overdue() => {
+                    if !pace.rests() || socket.quiet() {
+                        return;
+                    }
+                    // The runtime has not heard of it yet.
+                    yield_now().await;
+                }
+                Ok(()) = stay.changed() => match *stay.borrow_and_update() {
+                    Stay::On | Stay::HandedOver => {}
+                    Stay::Ends | Stay::Closed if pace.busy() => connection.as_mut().graceful_shutdown(),
+                    Stay::Ends if pace.fresh() => {}
+                    Stay::Ends | Stay::Closed if pace.rests() && socket.quiet() => return,
+                    // A request is on its way here, and its answer says that it is the last.
+                    Stay::Ends | Stay::Closed => {}
+                },
+            }
         }
     }
 
@@ -140,9 +184,15 @@
         self: Rc<Self>,
         request: Request<Incoming>,
         (patience, asked): (Patience, Asked),
+        socket: Socket,
     ) -> Result<Response<Reply>, Infallible> {
-        let _busy = Counted::one(&self.busy);
-        let (Ok(mut answer) | Err(mut answer)) = self.take(request, patience).await;
+        let answer = tokio::select! {
+            biased;
+            answer = self.take(request, patience) => answer,
+            // Hyper does not look for the end of a connection while bytes stand before it. Nobody reads this.
+            () = socket.left() => Err(plain(StatusCode::BAD_REQUEST, "the client has left")),
+        };
+        let (Ok(mut answer) | Err(mut answer)) = answer;
         answer.body_mut().answers(asked);
         if *self.stay.borrow() != Stay::On {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -281,6 +331,10 @@
         let body = self.collect(body, patience, expects).await.map_err(unread)?;
         let came = Instant::now();
         let room = ANSWER_ROOM.min(wait / 4);
+        let wait = match self.last.get() {
+            Some(last) => wait.min(last.saturating_duration_since(came)).max(room),
+            None => wait,
+        };
         let query = head.uri.query().unwrap_or_default();
         let key = query.split('&').find_map(|pair| pair.strip_prefix("key="));
         let cost = text(&head.headers, "x-cost").and_then(|cost| cost.parse::<f64>().ok());
--- a/agent/src/process.rs
+++ b/agent/src/process.rs
@@ -22,6 +22,8 @@
 const BACKENDS_SHARE: usize = 3;
 /// A process that inherits its listener leaves it alone until it has a list, but no longer than this.
 const LIST_WAIT: Duration = Duration::from_secs(4);
+/// At a planned end the longest deadline counts as so long at least.
+const DEADLINE_LEAST: Duration = Duration::from_secs(3);
 /// Answers that are decided are written within this.
 const FLUSH: Duration = Duration::from_millis(30);
 
@@ -142,22 +144,23 @@
             _ = &mut driven => return Err("the decisions have stopped".into()),
         }
     }
-    let told = Instant::now();
+    // By then all is answered: the process is killed no sooner than this after SIGTERM.
+    let longest = Duration::from_micros(longest.0).max(DEADLINE_LEAST);
+    let last = Instant::now() + server::ACCEPT_ON + longest;
     if handed_on {
         // The queue is the new process's, or the next one's: the platform holds the socket.
         accepting.abort();
         server.hand_over();
     } else {
-        server.drain();
+        server.drain(last - FLUSH);
         sleep(server::ACCEPT_ON).await;
-        accepting.abort();
+        server.close();
+        // It serves what still lies in the queue.
+        let _ = accepting.await;
     }
-    // What is in flight has its deadline; past the longest one nothing is owed any more.
-    let last = told + server::ACCEPT_ON + Duration::from_micros(longest.0);
     loop {
         sleep(FLUSH).await;
-        let left = if handed_on { server.open() } else { server.busy() };
-        if !left || Instant::now() >= last {
+        if !server.open() || Instant::now() >= last {
             break;
         }
     }
--- a/agent/src/renderers/upstream.rs
+++ b/agent/src/renderers/upstream.rs
@@ -6,6 +6,7 @@
 use crate::figures::Figures;
 use crate::list::{Health, Host};
 use crate::traffic::body::{Budget, Outgoing, Reply, BUFFER, KEPT_MOST};
+use crate::traffic::socket::Socket;
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -57,7 +58,7 @@
 
 /// A socket that counts what the kernel has taken, so that the fate of a broken attempt is known.
 struct Counted {
-    io: TokioIo<TcpStream>,
+    io: TokioIo<Socket>,
     wire: Rc<Wire>,
 }
 
@@ -184,6 +185,7 @@
 /// One open connection; dropping it closes it.
 struct Connection {
     sender: SendRequest<Outgoing>,
+    socket: Socket,
     task: JoinHandle<()>,
     wire: Rc<Wire>,
     server: ServerId,
@@ -306,7 +308,9 @@
             let mut remotes = self.remotes.borrow_mut();
             let remote = remotes.get_mut(&server).ok_or(Outcome::ConnectFailed)?;
             while let Some(connection) = remote.idle.pop() {
-                if connection.idle_since.elapsed() < self.idle_most && connection.sender.is_ready() {
+                let stands = connection.idle_since.elapsed() < self.idle_most && connection.sender.is_ready();
+                // Its end, or half a line, may have come without the connection's task having run since.
+                if stands && connection.socket.quiet() {
                     return Ok(connection);
                 }
             }
@@ -319,8 +323,9 @@
         let upstream = self.clone();
         tokio::task::spawn_local(async move {
             let opened = timeout(upstream.connect_timeout, open(dial)).await;
-            let opened = opened.ok().and_then(Result::ok).map(|(sender, task, wire)| Connection {
+            let opened = opened.ok().and_then(Result::ok).map(|(sender, socket, task, wire)| Connection {
                 sender,
+                socket,
                 task,
                 wire,
                 server,
@@ -534,19 +539,17 @@
     }
 }
 
-async fn open(dial: SocketAddr) -> io::Result<(SendRequest<Outgoing>, JoinHandle<()>, Rc<Wire>)> {
-    let stream = TcpStream::connect(dial).await?;
-    // It spares waits; a connection without it is good all the same.
-    let _ = stream.set_nodelay(true);
+async fn open(dial: SocketAddr) -> io::Result<(SendRequest<Outgoing>, Socket, JoinHandle<()>, Rc<Wire>)> {
+    let socket = Socket::new(TcpStream::connect(dial).await?);
     let wire = Rc::<Wire>::default();
-    let io = Counted { io: TokioIo::new(stream), wire: wire.clone() };
+    let io = Counted { io: TokioIo::new(socket.clone()), wire: wire.clone() };
     let (sender, driven) =
         Builder::new().max_buf_size(BUFFER).handshake(io).await.map_err(io::Error::other)?;
     let task = tokio::task::spawn_local(async move {
         // How it ended shows at the sender and in the bytes written.
         let _ = driven.await;
     });
-    Ok((sender, task, wire))
+    Ok((sender, socket, task, wire))
 }
 
 /// An error and what lies under it, short.
@@ -647,6 +650,71 @@
         }
     }
 
+    /// A backend ends a resting connection, or says half a line on it, in the moment before its next use; the
+    /// connection's task has not run since, so only the system knows.
+    #[tokio::test]
+    async fn a_connection_that_ended_just_now_is_not_used() {
+        use std::io::{Read as _, Write as _};
+        let wait = Duration::from_secs(10);
+        let get = || Request::get("/a").header("host", "s").body(Outgoing::default()).expect("a request");
+        for end in [None, Some(&b"HTTP/1.1 40"[..])] {
+            let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+            let dial = listener.local_addr().expect("an address").to_string();
+            let host = serde_json::json!({"host": "s", "dial": dial, "site": "a", "health": "up"});
+            let list = serde_json::json!({"seq": 1, "whole": true, "hosts": [host]});
+            let list = crate::list::parse_list(&list).expect("a list");
+            // Answers one request on each of two connections and hands the connections out.
+            let answering = std::thread::spawn(move || {
+                [(); 2].map(|()| {
+                    let (mut stream, _) = listener.accept().expect("a connection");
+                    let mut head = Vec::new();
+                    while !head.ends_with(b"\r\n\r\n") {
+                        let mut byte = [0; 1];
+                        stream.read_exact(&mut byte).expect("a request");
+                        head.extend(byte);
+                    }
+                    stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").expect("sent");
+                    stream
+                })
+            });
+            let budget = Rc::new(Budget::of(32, false));
+            let upstream = Rc::new(Upstream::new(4, Figures::new(1), budget, wait, wait, Vec::new()));
+            upstream.describe(ServerId(1), &list.hosts[0]);
+            tokio::task::LocalSet::new()
+                .run_until(async {
+                    let attempt = || async {
+                        let over = tokio::time::sleep(wait);
+                        let progress = Progress::default();
+                        upstream.attempt(ServerId(1), get(), || true, over, &progress).await.outcome
+                    };
+                    // Two at once, so that two connections rest.
+                    let both = tokio::join!(attempt(), attempt());
+                    assert_eq!(both, (Outcome::Success, Outcome::Success));
+                    let mut streams = answering.join().expect("answered").into_iter();
+                    let mut first = streams.next().expect("a connection");
+                    match end {
+                        Some(bytes) => first.write_all(bytes).expect("sent"),
+                        None => drop(first.shutdown(std::net::Shutdown::Both)),
+                    }
+                    // From here on the runtime runs nothing before the next attempt has its connection.
+                    let ended = || {
+                        let remotes = upstream.remotes.borrow();
+                        let idle = &remotes[&ServerId(1)].idle;
+                        assert_eq!(idle.len(), 2);
+                        idle.iter().any(|c| !c.socket.quiet())
+                    };
+                    while !ended() {}
+                    // The last to rest is used first; whichever that is, the ended one must not be.
+                    let taken =
+                        [upstream.connection(ServerId(1)).await, upstream.connection(ServerId(1)).await];
+                    let used = taken.iter().flatten().filter(|c| c.wire.written.get() > 0);
+                    assert!(used.clone().all(|c| c.socket.quiet()), "an ended one is used again");
+                    assert_eq!(used.count(), 1, "the one that stands is used");
+                })
+                .await;
+        }
+    }
+
     #[test]
     fn headers_of_the_connection_stay_behind() {
         let mut headers = HeaderMap::new();
--- a/agent/src/traffic/mod.rs
+++ b/agent/src/traffic/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod body;
 pub mod pace;
+pub mod socket;
--- a/agent/src/traffic/pace.rs
+++ b/agent/src/traffic/pace.rs
@@ -1,6 +1,7 @@
 //! How long a client may take: for a head, for a body, and between two requests. A slow client is not a mute one, so
 //! nothing here goes by the total: a head counts from its first byte, and a body has to keep up a least rate.
 
+use crate::traffic::socket::Socket;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use std::cell::Cell;
@@ -9,7 +10,6 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{sleep_until, Instant};
 
@@ -66,6 +66,21 @@
         (Patience::new(since + HEAD_MOST), Asked(self.clone()))
     }
 
+    /// Whether a request is in work.
+    pub fn busy(&self) -> bool {
+        self.busy.get()
+    }
+
+    /// Whether nothing is in work, nothing of a head has come, and all is written out.
+    pub fn rests(&self) -> bool {
+        !self.busy.get() && self.begun.get().is_none() && self.stuck.get().is_none()
+    }
+
+    /// Whether no request has come yet.
+    pub fn fresh(&self) -> bool {
+        self.fresh.get()
+    }
+
     fn due(&self) -> Option<Instant> {
         let waits = match self.begun.get() {
             None => self.idle.get() + IDLE_MOST,
@@ -141,14 +156,14 @@
 
 /// A client's socket, whose progress is noted.
 pub struct Timed {
-    io: TokioIo<TcpStream>,
+    io: TokioIo<Socket>,
     pace: Rc<Pace>,
 }
 
 impl Timed {
     /// Notes what passes over this socket.
-    pub fn new(stream: TcpStream, pace: Rc<Pace>) -> Self {
-        Timed { io: TokioIo::new(stream), pace }
+    pub fn new(socket: Socket, pace: Rc<Pace>) -> Self {
+        Timed { io: TokioIo::new(socket), pace }
     }
 
     fn wrote<T>(&self, poll: &Poll<T>) {
--- a/agent/tests/attempts.rs
+++ b/agent/tests/attempts.rs
@@ -289,7 +289,8 @@
     let mut stream = choked.next().await;
     assert_eq!(client.answer().await.status(), 429, "a keyed request whose group is all may be tried again");
     // The connection serves the next request, so the repeat's bytes would have come before these.
-    agent.client().await.send(&request("GET", "/read/next", "60000m", "")).await;
+    let mut client = agent.client().await;
+    client.send(&request("GET", "/read/next", "60000m", "")).await;
     let message = soon("the next request", read_message(&mut stream, 0)).await.expect("a request");
     assert_eq!(message.first_line(), "GET /read/next HTTP/1.1");
 }
