Take in only what was left for this agent of this deployment

The files that processes leave each other in $TMPDIR had fixed names and named nobody: a cordon of another agent in the same folder held here for a renderer of the same name, and what was learned was taken by the place of a class, whoever's classes they were. Now the names of the files carry agent, address and zones, the files say these and the classes in full, and what was written for another is refused with one line that says for whom (peers/handover.rs). Words on renderers hold over a change of classes; what was learned does not.

The test, with real processes in one folder, fails without this (a cordon of n0 holds at n1). Its log line comes before the agent says where it listens, so the tests' rig keeps the lines that it reads until then.

--- a/agent/src/peers/handover.rs
+++ b/agent/src/peers/handover.rs
@@ -3,11 +3,13 @@
 //!
 //! Both run side by side for a while and are one agent, so a call at either has to hold in both. They share a small
 //! file in `$TMPDIR` with the last word on each renderer and its time; the later word wins, whoever wrote it.
+//! A file names the agent and the deployment that it was written for, and nobody else takes it in.
 
 use micasail::{Lesson, Lessons, ServerId, Time};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::fmt;
 use std::fs::{self, Metadata};
 use std::io;
 use std::net::TcpListener;
@@ -18,14 +20,16 @@
 
 /// How often a process looks for what the other one has been told.
 pub const LOOK: Duration = Duration::from_millis(50);
-/// The form of the file; one in another form is not this program's.
-const FORM: u32 = 1;
+/// The form of the files; one in another form is not this program's.
+const FORM: u32 = 2;
 /// No file of this program is longer.
 const FILE_MOST: u64 = 256 << 10;
 /// A renderer that came back so long ago is an ordinary one, and no process runs beside another for nearly as long.
 const FORGET: Duration = Duration::from_secs(600);
-const FILE: &str = "bellcroft-cordons.json";
-const LEARNED: &str = "bellcroft-learned.json";
+const CORDONS: &str = "cordons";
+const LEARNED: &str = "learned";
+/// So much of an agent's name stands in the names of its files; all of it stands in them.
+const NAME_MOST: usize = 40;
 /// How often that is written, and how old it may be to be of use.
 pub const LEARN: Duration = Duration::from_secs(1);
 const STALE: Duration = Duration::from_secs(5);
@@ -62,10 +66,53 @@
     pub at: u64,
 }
 
+/// Whom a file is written for: one agent of one deployment.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Owner {
+    /// The agent's name.
+    pub agent: String,
+    /// Where its application connects.
+    pub listen: String,
+    /// The zones of the deployment: what renderers stand in, whose names the words are about.
+    pub zones: Vec<String>,
+    /// Its classes, by whose places things are learned.
+    pub classes: Vec<String>,
+}
+
+impl Owner {
+    /// The name of a file, which others do not use.
+    fn file(&self, what: &str) -> String {
+        let plain = |c: char| if c.is_ascii_alphanumeric() { c } else { '_' };
+        let agent: String = self.agent.chars().map(plain).take(NAME_MOST).collect();
+        let zones = self.zones.join("\0");
+        let whole = micasail_settings::fnv1a(&format!("{}\0{}\0{zones}", self.agent, self.listen));
+        format!("bellcroft-{agent}-{whole:016x}-{what}.json")
+    }
+
+    /// Whether words on renderers mean the same ones.
+    fn same_renderers(&self, other: &Owner) -> bool {
+        (&self.agent, &self.listen, &self.zones) == (&other.agent, &other.listen, &other.zones)
+    }
+}
+
+impl fmt::Display for Owner {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Owner { agent, listen, zones, classes } = self;
+        write!(
+            f,
+            "agent {agent:.80} at {listen:.80}, zones {}, classes {}",
+            zones.join(" "),
+            classes.join(" ")
+        )
+    }
+}
+
 #[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct File {
     form: u32,
+    of: Owner,
     words: BTreeMap<String, Word>,
 }
 
@@ -75,14 +122,16 @@
 /// The operators' words on all renderers, and the file that they share with a process beside this one.
 pub struct Cordons {
     file: Option<PathBuf>,
+    owner: Owner,
     words: BTreeMap<String, Word>,
     seen: Option<Stamp>,
 }
 
 impl Cordons {
     /// Knows none; reads and writes them in this folder, if there is one.
-    pub fn new(folder: Option<PathBuf>) -> Self {
-        Cordons { file: folder.map(|folder| folder.join(FILE)), words: BTreeMap::new(), seen: None }
+    pub fn new(folder: Option<PathBuf>, owner: Owner) -> Self {
+        let file = folder.map(|folder| folder.join(owner.file(CORDONS)));
+        Cordons { file, owner, words: BTreeMap::new(), seen: None }
     }
 
     /// Whether a renderer is out of use by the last word on it.
@@ -112,10 +161,10 @@
             return Vec::new();
         }
         self.seen = Some(stamp);
-        let theirs = match read::<File>(file) {
-            Ok(File { form: FORM, words }) => words,
-            other => {
-                let why = other.err().unwrap_or_else(|| format!("its form is not {FORM}"));
+        let same = |theirs: &Owner| self.owner.same_renderers(theirs);
+        let theirs = match read::<File>(file, |file| (file.form, &file.of), &self.owner, same) {
+            Ok(File { words, .. }) => words,
+            Err(why) => {
                 tracing::warn!(target: "handover", "{} is not taken: {why}", file.display());
                 return Vec::new();
             }
@@ -137,7 +186,7 @@
         let Some(file) = &self.file else { return Ok(()) };
         let forget = unix_now().saturating_sub(FORGET.as_micros() as u64);
         self.words.retain(|_, word| word.out || word.at > forget);
-        replace(file, &File { form: FORM, words: self.words.clone() })
+        replace(file, &File { form: FORM, of: self.owner.clone(), words: self.words.clone() })
     }
 }
 
@@ -146,6 +195,7 @@
 #[serde(deny_unknown_fields)]
 struct Learned {
     form: u32,
+    of: Owner,
     at: u64,
     level: f64,
     median: f64,
@@ -168,7 +218,12 @@
 }
 
 /// Keeps what has been learned for the next process. A failure costs that one a slow start and nothing else.
-pub fn keep(folder: &Path, lessons: Lessons, name: impl Fn(ServerId) -> Option<String>) -> io::Result<()> {
+pub fn keep(
+    folder: &Path,
+    owner: &Owner,
+    lessons: Lessons,
+    name: impl Fn(ServerId) -> Option<String>,
+) -> io::Result<()> {
     let server = |l: Lesson| {
         let Lesson { server, started, limit, cut, stretch, pace, samples, cold_sent, suspect } = l;
         let started = started.map(|at| at.0);
@@ -179,19 +234,17 @@
     };
     let Lessons { level, median, class_pace, warm_sent, servers } = lessons;
     let servers = servers.into_iter().filter_map(server).collect();
-    let learned = Learned { form: FORM, at: unix_now(), level, median, class_pace, warm_sent, servers };
-    replace(&folder.join(LEARNED), &learned)
+    let of = owner.clone();
+    let learned = Learned { form: FORM, of, at: unix_now(), level, median, class_pace, warm_sent, servers };
+    replace(&folder.join(owner.file(LEARNED)), &learned)
 }
 
 /// What the process beside this one has learned, if that is fresh.
-pub fn lessons(folder: &Path, id: impl Fn(&str) -> Option<ServerId>) -> Option<Lessons> {
-    let file = folder.join(LEARNED);
+pub fn lessons(folder: &Path, owner: &Owner, id: impl Fn(&str) -> Option<ServerId>) -> Option<Lessons> {
+    let file = folder.join(owner.file(LEARNED));
     fs::metadata(&file).ok()?;
-    let read = read::<Learned>(&file).and_then(|learned| match learned.form {
-        FORM => Ok(learned),
-        form => Err(format!("its form is {form}, not {FORM}")),
-    });
-    let learned = read
+    let same = |theirs: &Owner| theirs == owner;
+    let learned = read::<Learned>(&file, |learned| (learned.form, &learned.of), owner, same)
         .inspect_err(|why| tracing::warn!(target: "handover", "{} is not taken: {why}", file.display()))
         .ok()?;
     if unix_now().saturating_sub(learned.at) > STALE.as_micros() as u64 {
@@ -218,12 +271,23 @@
     (metadata.ino(), metadata.mtime(), metadata.mtime_nsec(), metadata.len())
 }
 
-fn read<T: DeserializeOwned>(file: &Path) -> Result<T, String> {
+/// Reads a file that must have this form and, by `same`, have been written for this agent; the error is for a person.
+fn read<T: DeserializeOwned>(
+    file: &Path,
+    head: impl Fn(&T) -> (u32, &Owner),
+    owner: &Owner,
+    same: impl Fn(&Owner) -> bool,
+) -> Result<T, String> {
     if fs::metadata(file).map_err(|e| e.to_string())?.len() > FILE_MOST {
-        return Err("it is too long".into());
+        return Err(format!("it is longer than {FILE_MOST} bytes"));
     }
     let text = fs::read(file).map_err(|e| e.to_string())?;
-    serde_json::from_slice(&text).map_err(|e| e.to_string())
+    let whole: T = serde_json::from_slice(&text).map_err(|e| e.to_string())?;
+    match head(&whole) {
+        (FORM, of) if same(of) => Ok(whole),
+        (FORM, of) => Err(format!("it was written for {of}, not for {owner}")),
+        (form, _) => Err(format!("its form is {form}, not {FORM}")),
+    }
 }
 
 fn unix_now() -> u64 {
@@ -246,10 +310,16 @@
         }
 
         fn process(&self) -> Cordons {
-            Cordons::new(Some(self.0.clone()))
+            Cordons::new(Some(self.0.clone()), owner())
         }
     }
 
+    fn owner() -> Owner {
+        let words = |text: &str| text.split(' ').map(str::to_owned).collect();
+        let (agent, listen) = ("n0".into(), "127.0.0.1:1".into());
+        Owner { agent, listen, zones: words("a b"), classes: words("read pay") }
+    }
+
     impl Drop for Folder {
         fn drop(&mut self) {
             let _ = fs::remove_dir_all(&self.0);
@@ -292,26 +362,29 @@
     fn a_torn_or_foreign_file_is_ignored_and_replaced() {
         let folder = Folder::new("torn");
         let mut process = folder.process();
-        let whole = br#"{"form":1,"words":{"a":{"out":true,"at":5}}}"#;
-        let foreign: [&[u8]; 5] = [
-            &whole[..20],
+        let of = serde_json::to_string(&owner()).expect("text");
+        let whole = format!(r#"{{"form":2,"of":{of},"words":{{"a":{{"out":true,"at":5}}}}}}"#);
+        let file = folder.0.join(owner().file(CORDONS));
+        let foreign: [&[u8]; 6] = [
+            &whole.as_bytes()[..20],
             b"",
             b"\xff\xff",
-            br#"{"form":2,"words":{}}"#,
-            br#"{"form":1,"words":{},"more":1}"#,
+            &whole.replace("\"form\":2", "\"form\":1").into_bytes(),
+            &whole.replace("\"words\"", "\"more\":1,\"words\"").into_bytes(),
+            &whole.replace("127.0.0.1:1", "127.0.0.1:2").into_bytes(),
         ];
         for text in foreign {
-            fs::write(folder.0.join(FILE), text).expect("written");
+            fs::write(&file, text).expect("written");
             assert_eq!(process.look(), [], "{text:?}");
         }
         process.say("b", true).expect("written");
         let mut next = folder.process();
         next.look();
         assert!(next.out("b"));
-        fs::write(folder.0.join(FILE), whole).expect("written");
+        fs::write(&file, whole).expect("written");
         next.look();
         assert!(next.out("a"));
-        assert!(Cordons::new(Some(folder.0.join("nowhere"))).say("a", true).is_err());
+        assert!(Cordons::new(Some(folder.0.join("nowhere")), owner()).say("a", true).is_err());
     }
 
     #[test]
@@ -332,18 +405,20 @@
         };
         let told =
             Lessons { level: 0.5, median: 0.2, class_pace: vec![0.1], warm_sent: 2.0, servers: vec![lesson] };
-        keep(&folder.0, told.clone(), |id| (id == server).then(|| "a".to_owned())).expect("written");
+        keep(&folder.0, &owner(), told.clone(), |id| (id == server).then(|| "a".to_owned()))
+            .expect("written");
         let id = |name: &str| (name == "a").then_some(server);
-        assert_eq!(lessons(&folder.0, id), Some(told));
-        let file = folder.0.join(LEARNED);
+        assert_eq!(lessons(&folder.0, &owner(), id), Some(told));
+        let file = folder.0.join(owner().file(LEARNED));
         let text = fs::read_to_string(&file).expect("text");
         for odd in [
             &text[..text.len() / 2],
-            &text.replace("\"form\":1", "\"form\":2"),
+            &text.replace("\"form\":2", "\"form\":1"),
+            &text.replace("\"read\",\"pay\"", "\"pay\",\"read\""),
             &text.replace("\"at\":", "\"at\":1,\"was\":"),
         ] {
             fs::write(&file, odd).expect("written");
-            assert_eq!(lessons(&folder.0, id), None, "{odd}");
+            assert_eq!(lessons(&folder.0, &owner(), id), None, "{odd}");
         }
     }
 
--- a/agent/src/process.rs
+++ b/agent/src/process.rs
@@ -90,7 +90,7 @@
     if let Some(fleet) = &fleet {
         driver.regions(&fleet.regions);
     }
-    let staff = Staff::new(driver.clone(), folder);
+    let staff = Staff::new(driver.clone(), folder, name.clone(), listen.to_string());
     let mut driven = tokio::task::spawn_local(driver.clone().run());
     let server = Server::new(driver.clone(), sockets - backends);
     let (accepted, ready) = (server.clone(), driver.clone());
--- a/agent/src/staff/words.rs
+++ b/agent/src/staff/words.rs
@@ -3,8 +3,9 @@
 use crate::driver::Driver;
 use crate::figures::{self, Attempts};
 use crate::forms::{Counters, Renderers, Zone, Zones, RENDERERS_MOST, ZONES_MOST};
-use crate::peers::handover::{self, Cordons, Word};
+use crate::peers::handover::{self, Cordons, Owner, Word};
 use micasail::Time;
+use micasail_settings::Names;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io;
@@ -20,13 +21,17 @@
     cordons: RefCell<Cordons>,
     /// Where the processes of this agent leave each other what they know.
     folder: Option<PathBuf>,
+    /// Who they are, so that nobody else's is taken in.
+    owner: Owner,
 }
 
 impl Staff {
     /// Takes in what has been said to another process of this agent.
-    pub fn new(driver: Rc<Driver>, folder: Option<PathBuf>) -> Rc<Self> {
-        let cordons = RefCell::new(Cordons::new(folder.clone()));
-        let staff = Staff { driver, cordons, folder };
+    pub fn new(driver: Rc<Driver>, folder: Option<PathBuf>, agent: String, listen: String) -> Rc<Self> {
+        let Names { zones, classes, .. } = driver.names.clone();
+        let owner = Owner { agent, listen, zones, classes };
+        let cordons = RefCell::new(Cordons::new(folder.clone(), owner.clone()));
+        let staff = Staff { driver, cordons, folder, owner };
         staff.look();
         Rc::new(staff)
     }
@@ -133,9 +138,8 @@
     /// Begins with what the process beside this one has learned, if it has left that in the folder.
     pub fn learn(&self) {
         let server = |name: &str| self.driver.server(name);
-        let Some(lessons) = self.folder.as_ref().and_then(|folder| handover::lessons(folder, server)) else {
-            return;
-        };
+        let lessons = |folder: &PathBuf| handover::lessons(folder, &self.owner, server);
+        let Some(lessons) = self.folder.as_ref().and_then(lessons) else { return };
         tracing::info!(target: "handover", "begins with what was learned of {} servers", lessons.servers.len());
         self.driver.learn(lessons);
     }
@@ -148,7 +152,7 @@
             return;
         }
         let name = |server| Some(self.driver.name(server)).filter(|name| !name.is_empty());
-        if let Err(why) = handover::keep(folder, lessons, name) {
+        if let Err(why) = handover::keep(folder, &self.owner, lessons, name) {
             tracing::warn!(target: "handover", "what was learned is not kept: {why}");
         }
     }
--- a/agent/tests/common/mod.rs
+++ b/agent/tests/common/mod.rs
@@ -94,15 +94,16 @@
         let mut log = BufReader::new(child.stderr.take().expect("its log")).lines();
         // The agent binds what is free and says so: a port that a test had found free would be another's by then.
         let (mut address, mut operator) = (None, None);
+        let (tell, told) = mpsc::unbounded_channel();
         while address.is_none() || (operated && operator.is_none()) {
             let line = soon("the agent's start", log.next_line()).await.expect("a log").expect("a line");
             let bound = |what: &str| line.split_once(what).map(|(_, at)| at.parse().expect("an address"));
             operator = operator.or(bound("answers on "));
             address = address.or(bound("listening on "));
+            let _ = tell.send(line);
         }
         let address = address.expect("bound above");
         // Someone must read on, or a full pipe would stop the agent.
-        let (tell, told) = mpsc::unbounded_channel();
         tokio::spawn(async move {
             while let Ok(Some(line)) = log.next_line().await {
                 let _ = tell.send(line);
--- a/agent/tests/upgrade.rs
+++ b/agent/tests/upgrade.rs
@@ -25,7 +25,10 @@
 
     /// One more process, with a second address of its own and the socket as descriptor 7.
     async fn process(&self, directory: &Directory, hosts: &[Value]) -> Agent {
-        let mut config = config(directory.address, hosts);
+        self.process_of(config(directory.address, hosts)).await
+    }
+
+    async fn process_of(&self, mut config: Value) -> Agent {
         config["operator"] = "127.0.0.1:0".into();
         let socket = OwnedFd::from(self.socket.try_clone().expect("a copy"));
         Agent::with(config, |command| {
@@ -126,3 +129,40 @@
     directory.list(2, &[host("s", backend.address, "up")]);
     healthy(&new).await;
 }
+
+/// A folder may hold what another agent, another deployment, or this agent with other classes has left. Words on
+/// renderers of theirs are not taken, what was learned by the place of a class is not either, and that is said.
+#[tokio::test]
+async fn nothing_foreign_in_the_folder_is_taken_in() {
+    let mut backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let directory = Directory::start(Mood::Mute).await;
+    let platform = Platform::new("foreign");
+    let own = config(directory.address, &[host("s", backend.address, "up")]);
+    let agent = platform.process_of(own.clone()).await;
+    healthy(&agent).await;
+    assert_eq!(agent.get("/read").await.status(), 200);
+    backend.next().await;
+    let files = || std::fs::read_dir(&platform.folder).expect("a folder").count();
+    soon("what was learned", async {
+        while files() < 1 {
+            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        }
+    })
+    .await;
+    assert_eq!(agent.call("cordon s").await, "done\n");
+    drop(agent);
+    for (key, other) in [("name", json!("n1")), ("zones", json!(["a", "elsewhere"]))] {
+        let mut foreign = own.clone();
+        *(if key == "name" { &mut foreign[key] } else { &mut foreign["settings"][key] }) = other;
+        let foreign = platform.process_of(foreign).await;
+        healthy(&foreign).await;
+        assert_eq!(foreign.counters().await["cluster_unhealthy"], 0, "a cordon of another {key}");
+        assert_eq!(foreign.get("/read").await.status(), 200);
+    }
+    let mut turned = own.clone();
+    turned["settings"]["classes"].as_array_mut().expect("classes").reverse();
+    let mut turned = platform.process_of(turned).await;
+    let line = turned.says("is not taken").await;
+    assert!(line.contains("learned") && line.contains("classes read save pay, not for"), "{line}");
+    assert_eq!(turned.counters().await["cluster_unhealthy"], 1, "the same renderer is still cordoned");
+}
