--- a/agent/src/application/server/tests.rs
+++ b/agent/src/application/server/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 use crate::config::Config;
 use std::io::Write as _;
--- a/agent/src/config/tests.rs
+++ b/agent/src/config/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 fn load(text: &str, listen: &str) -> Result<Config, String> {
--- a/agent/src/figures/tests.rs
+++ b/agent/src/figures/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 use serde_json::json;
 
--- a/agent/src/log/tests.rs
+++ b/agent/src/log/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 use crate::figures::End;
 use micasail::ServerId;
--- a/agent/src/peers/handover/tests.rs
+++ b/agent/src/peers/handover/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 use std::os::fd::IntoRawFd;
 
--- a/agent/src/traffic/pace/tests.rs
+++ b/agent/src/traffic/pace/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 use tokio::time::advance;
 
--- a/lab/src/oracle/tests.rs
+++ b/lab/src/oracle/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 use crate::{plan, scenario};
 use std::sync::Arc;
--- a/lab/src/plan/tests.rs
+++ b/lab/src/plan/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 use crate::scenario;
 
--- a/lab/src/scenario/tests.rs
+++ b/lab/src/scenario/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 const LEAST: &str = "about = \"x\"\nseconds = 5\n[renderers]\ncount = 2\n[agents]\ncount = 1\n";
--- a/lab/src/stage/directory/tests.rs
+++ b/lab/src/stage/directory/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 use crate::oracle::Entry;
 use crate::scripted::{soon, Client};
--- a/lab/src/stage/peers/tests.rs
+++ b/lab/src/stage/peers/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 use crate::link::State;
 use crate::stage::Addresses;
--- a/lab/src/sweep/tests.rs
+++ b/lab/src/sweep/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 #[test]
