Tell in one line what a list lacks, and keep what was known of its server

An entry of a whole list that could not be read took its server out of use ("429" for 200 in the test), and nothing said so; an answer that was no list was logged as "status 200 OK". Now each such line is logged with its place, what it is and what was expected, and its server stands as the last list that could be read has it (driver/servers.rs); a failed call says why.

--- a/agent/src/config/mod.rs
+++ b/agent/src/config/mod.rs
@@ -118,7 +118,7 @@
         let seed = file.seed.unwrap_or_default();
         let known = match file.known {
             serde_json::Value::Null => List::default(),
-            value => list::parse_list(&value).ok_or("known is no server list")?,
+            value => list::parse_list(&value).map_err(|why| format!("known is no server list: {why}"))?,
         };
         Ok(Config {
             name: var("PROXY_NAME").or(file.name).unwrap_or_else(|| "agent".into()),
--- a/agent/src/driver/servers.rs
+++ b/agent/src/driver/servers.rs
@@ -10,6 +10,8 @@
 struct Known {
     name: String,
     zone: String,
+    /// As the last list that could be read has it.
+    listed: Option<Listed>,
 }
 
 /// What is known of the servers by the list.
@@ -80,8 +82,17 @@
     ) -> Vec<Listed> {
         self.seq = Some(list.seq);
         let mut lines = Vec::with_capacity(list.hosts.len());
+        for (name, why) in &list.unread {
+            tracing::warn!(target: "discovery", server = name.as_deref().unwrap_or(""), "a line of list {} is not taken: {why}", list.seq);
+        }
         if list.whole {
             self.up.clear();
+            // What was known of a server stands until a line on it can be read.
+            let named = list.unread.iter().filter_map(|(name, _)| self.ids.get(name.as_deref()?));
+            let stand = named.filter_map(|id| self.known.get(id)?.listed.clone());
+            lines.extend(stand.filter(|line| line.status != Status::Gone));
+            self.up
+                .extend(lines.iter().filter(|line| line.status == Status::Serving).map(|line| line.server));
         }
         for host in &list.hosts {
             let server = self.intern(&host.name);
@@ -99,7 +110,7 @@
             } else {
                 self.up.remove(&server);
             }
-            lines.push(Listed {
+            let line = Listed {
                 server,
                 zone: ZoneId(place(&names.zones, &host.site)),
                 kind: KindId(place(&names.kinds, &host.kind)),
@@ -107,7 +118,11 @@
                 status,
                 weight: host.share,
                 started: (host.born_ms > 0.0).then(|| Time::from_ms(host.born_ms)),
-            });
+            };
+            if let Some(known) = self.known.get_mut(&server) {
+                known.listed = Some(line.clone());
+            }
+            lines.push(line);
         }
         lines
     }
@@ -123,7 +138,7 @@
             id = id.wrapping_add(1);
         }
         tracing::debug!(target: "discovery", "server {id} is {name}");
-        self.known.insert(ServerId(id), Known { name: name.to_owned(), zone: String::new() });
+        self.known.insert(ServerId(id), Known { name: name.to_owned(), zone: String::new(), listed: None });
         self.ids.insert(name.to_owned(), ServerId(id));
         ServerId(id)
     }
--- a/agent/src/list.rs
+++ b/agent/src/list.rs
@@ -12,6 +12,8 @@
     pub whole: bool,
     /// Its entries.
     pub hosts: Vec<Host>,
+    /// Entries that make no sense: the name of the server, if that can be read, and what is wrong.
+    pub unread: Vec<(Option<String>, String)>,
 }
 
 /// One server.
@@ -46,30 +48,45 @@
     Removed,
 }
 
-/// Reads a list. An entry that makes no sense is left out: one bad line must not cost the others.
-pub fn parse_list(value: &Value) -> Option<List> {
-    let hosts = value.get("hosts")?.as_array()?;
-    Some(List {
-        seq: value.get("seq")?.as_u64()?,
-        whole: value.get("whole").and_then(Value::as_bool).unwrap_or(false),
-        hosts: hosts.iter().filter_map(parse_host).collect(),
-    })
+/// Reads a list; the error is for a person. An entry that makes no sense is named apart: one bad line must not cost the
+/// others.
+pub fn parse_list(value: &Value) -> Result<List, String> {
+    let missing = |key: &str, what: &str| format!("it has no {key}, {what} was expected");
+    let entries = value.get("hosts").and_then(Value::as_array).ok_or_else(|| missing("hosts", "an array"))?;
+    let seq = value.get("seq").and_then(Value::as_u64).ok_or_else(|| missing("seq", "a whole number"))?;
+    let whole = value.get("whole").and_then(Value::as_bool).unwrap_or(false);
+    let (mut hosts, mut unread) = (Vec::with_capacity(entries.len()), Vec::new());
+    for (place, entry) in entries.iter().enumerate() {
+        match parse_host(entry) {
+            Ok(host) => hosts.push(host),
+            Err(why) => {
+                let name = entry.get("host").and_then(Value::as_str).filter(|name| !name.is_empty());
+                unread.push((name.map(str::to_owned), format!("entry {place}: {why}")));
+            }
+        }
+    }
+    Ok(List { seq, whole, hosts, unread })
 }
 
-fn parse_host(value: &Value) -> Option<Host> {
+fn parse_host(value: &Value) -> Result<Host, String> {
     let text = |key: &str| value.get(key).and_then(Value::as_str);
-    let health = match text("health")? {
-        "up" => Health::Up,
-        "draining" => Health::Draining,
-        "removed" => Health::Removed,
-        _ => return None,
+    let odd = |key: &str, what: &str| {
+        let is = value.get(key).map_or("missing".to_owned(), |value| format!("{:.80}", value.to_string()));
+        format!("{key} is {is}, {what} was expected")
+    };
+    let name = text("host").filter(|name| !name.is_empty()).ok_or_else(|| odd("host", "a name"))?;
+    let health = match text("health") {
+        Some("up") => Health::Up,
+        Some("draining") => Health::Draining,
+        Some("removed") => Health::Removed,
+        _ => return Err(odd("health", "up, draining or removed")),
     };
     let dial = text("dial").and_then(|d| d.parse().ok());
     if dial.is_none() && health == Health::Up {
-        return None;
+        return Err(odd("dial", "an address"));
     }
-    Some(Host {
-        name: text("host").filter(|name| !name.is_empty())?.to_owned(),
+    Ok(Host {
+        name: name.to_owned(),
         dial,
         site: text("site").unwrap_or_default().to_owned(),
         kind: text("class").unwrap_or_default().to_owned(),
--- a/agent/src/renderers/discovery.rs
+++ b/agent/src/renderers/discovery.rs
@@ -4,12 +4,15 @@
 //! ([`micasail::Action::Follow`], [`micasail::Action::FetchList`]); a watch once begun is kept up here.
 
 use crate::list::{parse_list, List};
+use crate::traffic::socket::Socket;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::Cell;
+use std::fmt::Display;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -129,14 +132,14 @@
 /// One call; `None` if it failed in any way. The connection is kept for the next call only if all went well.
 async fn call(place: Place, kept: &mut Option<Connection>, path: &str, wait: Duration) -> Option<List> {
     let mut connection = kept.take();
-    let (asked, reached, answered) = (Instant::now(), Cell::new(false), Cell::new(None));
+    let (asked, reached) = (Instant::now(), Cell::new(false));
+    let broke = |why: &dyn Display| format!("no whole answer: {why:.80}");
     let exchange = async {
         if connection.as_mut().is_none_or(|(sender, _)| sender.is_closed()) {
-            let stream =
-                timeout(place.connect_timeout, TcpStream::connect(place.address)).await.ok()?.ok()?;
-            // It spares waits; a connection without it is good all the same.
-            let _ = stream.set_nodelay(true);
-            let (sender, driven) = handshake(TokioIo::new(stream)).await.ok()?;
+            let connect = timeout(place.connect_timeout, TcpStream::connect(place.address)).await;
+            let stream = connect.map_err(io::Error::from).and_then(|stream| stream);
+            let socket = Socket::new(stream.map_err(|why| format!("no connection: {why}"))?);
+            let (sender, driven) = handshake(TokioIo::new(socket)).await.map_err(|why| broke(&why))?;
             let task = tokio::task::spawn_local(async move {
                 // Its end shows at the sender.
                 let _ = driven.await;
@@ -144,35 +147,35 @@
             connection = Some((sender, Ended(task)));
         }
         reached.set(true);
-        let (sender, _) = connection.as_mut()?;
-        sender.ready().await.ok()?;
-        let request = Request::get(path).header("host", place.address.to_string()).body(Empty::new()).ok()?;
-        let response = sender.send_request(request).await.ok()?;
-        answered.set(Some(response.status()));
+        let Some((sender, _)) = connection.as_mut() else { return Err("no connection".to_owned()) };
+        sender.ready().await.map_err(|why| broke(&why))?;
+        let request = Request::get(path).header("host", place.address.to_string()).body(Empty::new());
+        let request = request.map_err(|why| broke(&why))?;
+        let response = sender.send_request(request).await.map_err(|why| broke(&why))?;
         if response.status() != StatusCode::OK {
-            return None;
+            return Err(format!("status {}", response.status()));
         }
-        let body = Limited::new(response.into_body(), LIST_MOST).collect().await.ok()?.to_bytes();
-        parse_list(&serde_json::from_slice(&body).ok()?)
+        let body = Limited::new(response.into_body(), LIST_MOST).collect().await;
+        let body = body.map_err(|why| broke(&why))?.to_bytes();
+        let odd = |why: String| format!("its answer is no list: {why}");
+        let value = serde_json::from_slice(&body).map_err(|why| odd(why.to_string()))?;
+        parse_list(&value).map_err(odd)
     };
     // A cut-off discovery leaves its connection open and mute: no answer in time is a failure like any other.
-    let answer = timeout(wait + SILENT, exchange).await.ok().flatten();
+    let silent = || Err(if reached.get() { "no answer" } else { "no connection" }.to_owned());
+    let answer = timeout(wait + SILENT, exchange).await.unwrap_or_else(|_| silent());
     let after = asked.elapsed().as_secs_f64() * 1e3;
     match &answer {
         // A watch that had nothing to tell says nothing here either.
-        Some(list) if list.whole || !list.hosts.is_empty() => {
+        Ok(list) if list.whole || !list.hosts.is_empty() => {
             let what = if list.whole { "the whole list" } else { "changes" };
             tracing::info!(target: "discovery", "{what} to {}, {} entries, after {after:.1} ms", list.seq, list.hosts.len());
         }
-        Some(_) => {}
-        None => {
-            let status = answered.get().map_or("no answer".to_owned(), |status| format!("status {status}"));
-            let how = if reached.get() { status } else { "no connection".to_owned() };
-            tracing::warn!(target: "discovery", "{path} failed after {after:.1} ms: {how}");
-        }
+        Ok(_) => {}
+        Err(why) => tracing::warn!(target: "discovery", "{path} failed after {after:.1} ms: {why}"),
     }
-    if answer.is_some() {
+    if answer.is_ok() {
         *kept = connection;
     }
-    answer
+    answer.ok()
 }
--- a/agent/tests/watches.rs
+++ b/agent/tests/watches.rs
@@ -2,6 +2,7 @@
 
 mod common;
 use common::*;
+use serde_json::json;
 use std::time::{Duration, Instant};
 
 /// What the operators' standing page says of a watch that falls silent: what it misses counts as told so long after
@@ -67,3 +68,24 @@
     after.list(1, &[host("new", new.address, "up")]);
     soon("the new list", async { while agent.get("/read").await.body != b"new" {} }).await;
 }
+
+/// A line that cannot be read, or an answer that is no list, is told in one line of the log, and costs nothing that was
+/// known: the server goes on as it was.
+#[tokio::test]
+async fn what_discovery_says_without_sense_is_told_and_costs_nothing_known() {
+    let backend = Backend::start(|_| Reply::Bytes(ok("x"))).await;
+    let known = host("s", backend.address, "up");
+    let mut directory =
+        Directory::start(Mood::List(json!({"seq": 2, "whole": true, "hosts": [known]}))).await;
+    let mut agent = Agent::start(directory.address, &[known]).await;
+    directory.next_call().await;
+    let torn = json!({"host": "s", "dial": "nowhere", "site": "a", "health": "up"});
+    directory.list(3, &[torn, host("gone", nobody().await, "removed")]);
+    let line = agent.says("is not taken").await;
+    assert!(line.contains("entry 0: dial is \"nowhere\", an address was expected"), "{line}");
+    assert_eq!(agent.get("/read").await.status(), 200);
+    directory.mood.send_replace(Mood::List(json!({"seq": 4, "whole": true, "hosts": "none"})));
+    let line = agent.says("its answer is no list").await;
+    assert!(line.contains("it has no hosts, an array was expected"), "{line}");
+    assert_eq!(agent.get("/read").await.status(), 200);
+}
