Answer what comes late before the kill, and begin nothing at an address that was left

The process itself waits on for those of before, whose loss would be its own end's, and for long bodies. - A connection that came up to the address or process that the list has replaced meanwhile was used all the same.

--- a/agent/src/application/server.rs
+++ b/agent/src/application/server.rs
@@ -119,8 +119,10 @@
         self.leave(Stay::Closed);
     }
 
-    /// Answers what is open and the next request of each connection, as another process takes the new ones.
-    pub fn hand_over(&self) {
+    /// Answers what is open and the next request of each connection, as another process takes the new ones. All is
+    /// answered by `last`.
+    pub fn hand_over(&self, last: Instant) {
+        self.last.set(Some(last));
         self.leave(Stay::HandedOver);
     }
 
--- a/agent/src/process.rs
+++ b/agent/src/process.rs
@@ -22,8 +22,10 @@
 const BACKENDS_SHARE: usize = 3;
 /// A process that inherits its listener leaves it alone until it has a list, but no longer than this.
 const LIST_WAIT: Duration = Duration::from_secs(4);
-/// At a planned end the longest deadline counts as so long at least.
-const DEADLINE_LEAST: Duration = Duration::from_secs(3);
+/// At a planned end the longest deadline counts as this where it is longer (the protocol page).
+const DEADLINE_MOST: Duration = Duration::from_secs(3);
+/// Bodies that are on their way at a planned end get so long past the last deadline.
+const BODIES_MOST: Duration = Duration::from_secs(30);
 /// Answers that are decided are written within this.
 const FLUSH: Duration = Duration::from_millis(30);
 
@@ -144,13 +146,13 @@
             _ = &mut driven => return Err("the decisions have stopped".into()),
         }
     }
-    // By then all is answered: the process is killed no sooner than this after SIGTERM.
-    let longest = Duration::from_micros(longest.0).max(DEADLINE_LEAST);
-    let last = Instant::now() + server::ACCEPT_ON + longest;
+    let (told, longest) = (Instant::now(), Duration::from_micros(longest.0));
+    // The process may be killed from here on, and what comes late and is not answered by then is lost.
+    let last = told + server::ACCEPT_ON + longest.min(DEADLINE_MOST);
     if handed_on {
         // The queue is the new process's, or the next one's: the platform holds the socket.
         accepting.abort();
-        server.hand_over();
+        server.hand_over(last - FLUSH);
     } else {
         server.drain(last - FLUSH);
         sleep(server::ACCEPT_ON).await;
@@ -158,9 +160,12 @@
         // It serves what still lies in the queue.
         let _ = accepting.await;
     }
+    // Requests of before may wait on until then: to end without their answers would lose them. Nor is an answer cut
+    // that is on its way, unless it never ends.
+    let given_up = told + server::ACCEPT_ON + longest + BODIES_MOST;
     loop {
         sleep(FLUSH).await;
-        if !server.open() || Instant::now() >= last {
+        if !server.open() || Instant::now() >= given_up {
             break;
         }
     }
--- a/agent/src/renderers/upstream.rs
+++ b/agent/src/renderers/upstream.rs
@@ -352,10 +352,17 @@
         Some(Place(self.held.clone()))
     }
 
+    /// Whether a connection leads to the process and address that its backend has now.
+    fn leads_there(&self, connection: &Connection) -> bool {
+        let remotes = self.remotes.borrow();
+        remotes.get(&connection.server).is_some_and(|remote| remote.life == connection.life)
+    }
+
     fn park(&self, mut connection: Connection) {
+        let leads_there = self.leads_there(&connection);
         let mut remotes = self.remotes.borrow_mut();
         let Some(remote) = remotes.get_mut(&connection.server) else { return };
-        if remote.open && remote.life == connection.life && !connection.sender.is_closed() {
+        if remote.open && leads_there && !connection.sender.is_closed() {
             connection.idle_since = Instant::now();
             remote.idle.push(connection);
         }
@@ -381,7 +388,7 @@
                 self.park(connection);
                 return Err((None, "called off".to_owned()));
             }
-            if !may_begin() {
+            if !may_begin() || !self.leads_there(&connection) {
                 self.park(connection);
                 return Err((Some(Outcome::NotSent), "too late to begin".to_owned()));
             }
--- a/agent/tests/attempts.rs
+++ b/agent/tests/attempts.rs
@@ -262,6 +262,25 @@
     assert!(soon("the end", read_message(&mut stream, 0)).await.is_none(), "sent to one that drains");
 }
 
+/// A renderer may be replaced by a process at another address while a connection to the old one comes up: what is
+/// sent there would meet whoever has that address by then.
+#[tokio::test]
+async fn nothing_begins_at_an_address_that_its_server_has_left() {
+    let (choked, new) = (Choked::start().await, Backend::start(|_| Reply::Bytes(ok("new"))).await);
+    let mut directory = Directory::start(Mood::List(json!({"seq": 1, "whole": true, "hosts": []}))).await;
+    let mut config = config(directory.address, &[host("s", choked.address, "up")]);
+    config["settings"]["limits"]["connectTimeoutMs"] = 10_000.into();
+    config["operator"] = "127.0.0.1:0".into();
+    let agent = Agent::with(config, |_| {}).await;
+    directory.next_call().await;
+    let mut client = connecting(&agent, "/pay").await;
+    directory.list(2, &[host("s", new.address, "up")]);
+    directory.next_call().await;
+    let mut stream = choked.next().await;
+    assert_eq!(client.answer().await.body, b"new");
+    assert!(soon("the end", read_message(&mut stream, 0)).await.is_none(), "sent to the address of before");
+}
+
 /// Renderers forget a key when its window is over. A repeat that was decided on in time and whose connection comes up
 /// after that would run a second time.
 #[tokio::test]
--- a/agent/tests/closings.rs
+++ b/agent/tests/closings.rs
@@ -54,6 +54,31 @@
     }
 }
 
+/// What comes late in a planned end is answered before the process may be killed (the longest deadline of the settings and
+/// 0.7 s after SIGTERM), however long its client would wait; what came before may wait on.
+#[tokio::test]
+async fn a_late_request_is_answered_before_the_process_may_be_killed() {
+    let mut backend = Backend::start(|m| match m.head.contains("slow") {
+        true => Reply::Mute,
+        false => Reply::Bytes(ok("x")),
+    })
+    .await;
+    let (_directory, mut agent) = agent_of(&backend).await;
+    let (mut early, mut late) = (agent.client().await, agent.client().await);
+    early.send(&request("POST", "/pay/slow/early", "6000m", "")).await;
+    while !backend.next().await.head.contains("early") {}
+    let told = std::time::Instant::now();
+    told_to_end(&agent).await;
+    late.send(&request("POST", "/pay/slow/late", "20000m", "")).await;
+    assert_eq!(late.answer().await.status(), 504);
+    // By the settings it may be killed after 3.2 s; half of the way to the early one's end is bound enough.
+    let between = Duration::from_millis(4600);
+    assert!(told.elapsed() < between, "{:?}", told.elapsed());
+    assert_eq!(early.answer().await.status(), 504, "nobody has killed it, so it goes on");
+    assert!(told.elapsed() > between);
+    assert!(agent.end().await.success());
+}
+
 /// An answer counts as given with its last byte. The process stays until a long one is out, however long its head has
 /// been decided.
 #[tokio::test]
