--- a/agent/src/application/server.rs
+++ b/agent/src/application/server.rs
@@ -94,11 +94,9 @@
         }
         // What the system has accepted is the agent's, and would be reset with the listener.
         let Ok(listener) = listener.into_std() else { return };
-        while let (Ok(place), Ok((stream, _))) = (self.places.clone().try_acquire_owned(), listener.accept())
-        {
-            if let Some(stream) =
-                stream.set_nonblocking(true).ok().and_then(|()| TcpStream::from_std(stream).ok())
-            {
+        while let Ok(place) = self.places.clone().acquire_owned().await {
+            let Ok((stream, _)) = listener.accept() else { return };
+            if let Ok(stream) = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) {
                 self.serve(stream, place);
             }
         }
--- a/agent/src/application/server/tests.rs
+++ b/agent/src/application/server/tests.rs
@@ -94,6 +94,33 @@
     backend.await.expect("no panic");
 }
 
+/// The idle time of a connection ends in the moment in which a request comes: it is heard. The clock is the test's, so
+/// both are there when the connection's task runs next.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_comes_as_the_idle_time_ends_is_answered() {
+    const BEFORE: Duration = Duration::from_millis(2190);
+    const READY: &[u8] = b"GET /ready HTTP/1.1\r\nhost: x\r\n\r\n";
+    let config = config("idle", "null");
+    let local = tokio::task::LocalSet::new();
+    local
+        .run_until(async {
+            let server = Server::new(Driver::start(config, 8).expect("a driver"), 64);
+            for round in 0..32 {
+                let (ours, mut theirs) = without_options().expect("a pair");
+                let place = server.places.clone().try_acquire_owned().expect("a place");
+                tokio::task::spawn_local(server.clone().connection(ours, place));
+                let mut answer = vec![0; 256];
+                theirs.write_all(READY).await.expect("sent");
+                assert_ne!(theirs.read(&mut answer).await.expect("an answer"), 0);
+                tokio::time::advance(BEFORE).await;
+                theirs.try_write(READY).expect("sent");
+                tokio::time::advance(BEFORE).await;
+                assert_ne!(theirs.read(&mut answer).await.expect("an answer"), 0, "round {round}");
+            }
+        })
+        .await;
+}
+
 #[test]
 fn waits_have_a_number_and_a_unit() {
     assert_eq!(wait_of("480m"), Some(Duration::from_millis(480)));
--- a/agent/src/process.rs
+++ b/agent/src/process.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 /// Descriptors that are neither the application's nor the backends': files, discovery, the runtime's own.
 const SPARE_SOCKETS: usize = 24;
@@ -157,17 +157,16 @@
         server.drain(last - FLUSH);
         sleep(server::ACCEPT_ON).await;
         server.close();
-        // It serves what still lies in the queue.
-        let _ = accepting.await;
     }
     // Requests of before may wait on until then: to end without their answers would lose them. Nor is an answer cut
     // that is on its way, unless it never ends.
     let given_up = told + server::ACCEPT_ON + longest + BODIES_MOST;
-    loop {
+    if !handed_on {
+        // It takes what still lies in the queue, as soon as there are places.
+        let _ = timeout_at(given_up, accepting).await;
+    }
+    while server.open() && Instant::now() < given_up {
         sleep(FLUSH).await;
-        if !server.open() || Instant::now() >= given_up {
-            break;
-        }
     }
     sleep(FLUSH).await;
     tracing::info!(target: "process", "{name}: all is answered");
--- a/agent/tests/closings.rs
+++ b/agent/tests/closings.rs
@@ -79,6 +79,36 @@
     assert!(agent.end().await.success());
 }
 
+/// Connections that wait in the system's queue, as all places are taken, are the agent's: at a planned end they are served
+/// when there are places, and not reset with the listener.
+#[tokio::test]
+async fn what_waits_in_the_queue_at_a_planned_end_is_served() {
+    let mut backend = Backend::start(|m| match m.head.contains("slow") {
+        true => Reply::Mute,
+        false => Reply::Bytes(ok("x")),
+    })
+    .await;
+    let directory = Directory::start(Mood::Mute).await;
+    let mut config = config(directory.address, &[host("s", backend.address, "up")]);
+    config["limits"]["sockets"] = 80.into();
+    let mut agent = Agent::with(config, |_| {}).await;
+    // More than it has places for; those that it takes wait at the backend or for their turn there.
+    let mut slow = Vec::new();
+    for _ in 0..60 {
+        let mut client = agent.client().await;
+        client.send(&request("POST", "/pay/slow", "2400m", "")).await;
+        slow.push(client);
+    }
+    backend.next().await;
+    let mut queued = agent.client().await;
+    queued.send(&request("GET", "/read/queued", "20000m", "")).await;
+    agent.term().await;
+    let answer = queued.answer().await;
+    assert!([200, 429].contains(&answer.status()), "{}", answer.first_line());
+    drop(slow);
+    assert!(agent.end().await.success());
+}
+
 /// An answer counts as given with its last byte. The process stays until a long one is out, however long its head has
 /// been decided.
 #[tokio::test]
