--- a/agent/src/application/server.rs
+++ b/agent/src/application/server.rs
@@ -205,7 +205,8 @@
         request: Request<Incoming>,
         patience: Patience,
     ) -> Result<Response<Reply>, Response<Reply>> {
-        if request.uri().path() == "/ready" {
+        // A deployment may have a class of this name, whose requests say so.
+        if request.uri().path() == "/ready" && !request.headers().contains_key("x-priority-class") {
             let ready = self.driver.ready() && *self.stay.borrow() == Stay::On;
             return Ok(if ready {
                 plain(StatusCode::OK, "ready")
--- a/agent/tests/service.rs
+++ b/agent/tests/service.rs
@@ -190,6 +190,18 @@
     assert_eq!(second.next().await.connection, 1);
 }
 
+/// Classes are named by the deployment alone, and one may be called like a path of the agent's own.
+#[tokio::test]
+async fn a_class_called_ready_is_a_class() {
+    let backend = Backend::start(|_| Reply::Bytes(ok("served"))).await;
+    let directory = Directory::start(Mood::Mute).await;
+    let mut config = config(directory.address, &[host("s", backend.address, "up")]);
+    config["settings"]["classes"][0]["name"] = "ready".into();
+    let agent = Agent::with(config, |_| {}).await;
+    agent.ready().await;
+    assert_eq!(agent.get("/ready").await.body, b"served");
+}
+
 /// A discovery that answers with an error, and one that says nothing at all, is asked again.
 #[tokio::test]
 async fn a_failed_or_mute_discovery_is_asked_again() {
