--- a/agent/tests/attempts.rs
+++ b/agent/tests/attempts.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use serde_json::json;
+use serde_json::{json, Value};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -234,6 +234,18 @@
     assert_eq!(message.first_line(), "GET /read/next HTTP/1.1");
 }
 
+/// An agent that knows this server, has long patience with connects, and has a watch open.
+async fn watching(server: Value, adapt: impl FnOnce(&mut Value)) -> (Directory, Agent) {
+    let mut directory = Directory::start(Mood::List(json!({"seq": 1, "whole": true, "hosts": []}))).await;
+    let mut config = config(directory.address, &[server]);
+    config["settings"]["limits"]["connectTimeoutMs"] = 10_000.into();
+    config["operator"] = "127.0.0.1:0".into();
+    adapt(&mut config["settings"]);
+    let agent = Agent::with(config, |_| {}).await;
+    directory.next_call().await;
+    (directory, agent)
+}
+
 /// A request that has been decided on, and whose connect is still under way.
 async fn connecting(agent: &Agent, path: &str) -> Client {
     let mut client = agent.client().await;
@@ -247,12 +259,7 @@
 #[tokio::test]
 async fn nothing_begins_at_a_server_that_drains_by_the_time_its_connection_is_up() {
     let (choked, other) = (Choked::start().await, Backend::start(|_| Reply::Bytes(ok("other"))).await);
-    let mut directory = Directory::start(Mood::List(json!({"seq": 1, "whole": true, "hosts": []}))).await;
-    let mut config = config(directory.address, &[host("s", choked.address, "up")]);
-    config["settings"]["limits"]["connectTimeoutMs"] = 10_000.into();
-    config["operator"] = "127.0.0.1:0".into();
-    let agent = Agent::with(config, |_| {}).await;
-    directory.next_call().await;
+    let (mut directory, agent) = watching(host("s", choked.address, "up"), |_| {}).await;
     let mut client = connecting(&agent, "/pay").await;
     directory.list(2, &[host("s", choked.address, "draining"), host("other", other.address, "up")]);
     // The next call says that the list has been taken in.
@@ -267,12 +274,7 @@
 #[tokio::test]
 async fn nothing_begins_at_an_address_that_its_server_has_left() {
     let (choked, new) = (Choked::start().await, Backend::start(|_| Reply::Bytes(ok("new"))).await);
-    let mut directory = Directory::start(Mood::List(json!({"seq": 1, "whole": true, "hosts": []}))).await;
-    let mut config = config(directory.address, &[host("s", choked.address, "up")]);
-    config["settings"]["limits"]["connectTimeoutMs"] = 10_000.into();
-    config["operator"] = "127.0.0.1:0".into();
-    let agent = Agent::with(config, |_| {}).await;
-    directory.next_call().await;
+    let (mut directory, agent) = watching(host("s", choked.address, "up"), |_| {}).await;
     let mut client = connecting(&agent, "/pay").await;
     directory.list(2, &[host("s", new.address, "up")]);
     directory.next_call().await;
@@ -290,13 +292,10 @@
     let gate = word.clone();
     let mut first = Backend::start(move |_| Reply::When(gate.clone(), b"\0\r\n\r\n".to_vec())).await;
     let choked = Choked::start().await;
-    let mut directory = Directory::start(Mood::List(json!({"seq": 1, "whole": true, "hosts": []}))).await;
-    let mut config = config(directory.address, &[host("first", first.address, "up")]);
-    config["settings"]["limits"]["connectTimeoutMs"] = 10_000.into();
-    config["settings"]["classes"][1]["dedupWindowMs"] = (WINDOW.as_millis() as u64).into();
-    config["operator"] = "127.0.0.1:0".into();
-    let agent = Agent::with(config, |_| {}).await;
-    directory.next_call().await;
+    let (mut directory, agent) = watching(host("first", first.address, "up"), |settings| {
+        settings["classes"][1]["dedupWindowMs"] = (WINDOW.as_millis() as u64).into();
+    })
+    .await;
     let mut client = connecting(&agent, "/save").await;
     let sent = Instant::now();
     first.next().await;
