--- a/agent/src/application/server.rs
+++ b/agent/src/application/server.rs
@@ -206,7 +206,9 @@
         patience: Patience,
     ) -> Result<Response<Reply>, Response<Reply>> {
         // A deployment may have a class of this name, whose requests say so.
-        if request.uri().path() == "/ready" && !request.headers().contains_key("x-priority-class") {
+        let class = text(request.headers(), "x-priority-class") == Some("ready")
+            && self.driver.names.classes.iter().any(|name| name == "ready");
+        if request.uri().path() == "/ready" && !class {
             let ready = self.driver.ready() && *self.stay.borrow() == Stay::On;
             return Ok(if ready {
                 plain(StatusCode::OK, "ready")
--- a/agent/tests/service.rs
+++ b/agent/tests/service.rs
@@ -200,6 +200,10 @@
     let agent = Agent::with(config, |_| {}).await;
     agent.ready().await;
     assert_eq!(agent.get("/ready").await.body, b"served");
+    // Where there is none, a header more makes no request of a call for readiness.
+    let agent = Agent::start(directory.address, &[host("s", backend.address, "up")]).await;
+    agent.ready().await;
+    assert_eq!(agent.get("/ready").await.body, b"ready\n");
 }
 
 /// A discovery that answers with an error, and one that says nothing at all, is asked again.
