Start wrong agents from links: a copy may be open for writing in another process

Cause: a test copied a program while other threads started processes, which held the copy open for writing for a moment: 'Text file busy' on four of seven wrong agents, once in one run beside other load. Change: hard links beside what is built; nothing is written.

--- a/lab/tests/plays.rs
+++ b/lab/tests/plays.rs
@@ -28,13 +28,20 @@
     own.parent().and_then(Path::parent).expect("a folder").join(name)
 }
 
-/// The wrong agent under the name of its fault.
+/// The wrong agent under the name of its fault: by a link, as a copy that is being written when another thread starts a
+/// process stays open for writing in that one for a moment, and cannot be started then.
 fn wrong(folder: &Path, how: &str) -> PathBuf {
     let program = folder.join(how);
-    std::fs::copy(built("examples/wrong_agent"), &program).expect("a program");
+    std::fs::hard_link(built("examples/wrong_agent"), &program).expect("a link");
     program
 }
 
+/// A folder on the file system of what is built.
+fn beside() -> tempfile::TempDir {
+    let examples = built("examples");
+    tempfile::Builder::new().prefix("wrong-").tempdir_in(examples).expect("a folder")
+}
+
 fn lab(args: &[&str]) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_lab"));
     command.args(args).env_remove("CARGO").stdin(Stdio::null());
@@ -78,7 +85,7 @@
 
 /// The rules that a play found broken.
 fn broken(how: &str, changes: &str) -> (Vec<&'static str>, Played) {
-    let folder = tempfile::tempdir().expect("a folder");
+    let folder = beside();
     let played = play(&wrong(folder.path(), how), &small(changes));
     let rules = &played.result["rules"];
     let broken = ["lost", "doubled", "drains", "cold"].into_iter().filter(|r| rules[*r].as_u64() != Some(0));
@@ -218,7 +225,7 @@
 #[test]
 fn a_play_says_what_fell_short_and_gives_no_verdict_where_the_lab_was_late() {
     let _alone = alone();
-    let folder = tempfile::tempdir().expect("a folder");
+    let folder = beside();
     let agent = wrong(folder.path(), "right");
     let short = SMALL.replace("seconds = 4", "seconds = 1");
     let played = play(&agent, &format!("{short}[expect.least]\nin_time = 1.5\n"));
