Read and take in lists as they come, in steps beside requests, whatever their length

Need: at 29,000 servers the whole list has 4.3 MB, over the 4 MiB that discovery's client took: the agent asked for it three times a second for ever and learned of no change. A whole list of 12,000 held requests up, and what had left was never forgotten while only changes came.

Change: list.rs reads an answer value by value as it comes, 128 entries a step; driver/servers.rs takes known servers in at once, adds and removes at the answer's end, in steps; entries and bytes are bounded by the memory limit; answers of no use are asked for in growing pauses, and lines without sense told in eight lines an answer. What has left is forgotten, 1,024 servers later. Idle connections are looked through without a walk over all servers; SIGHUP reads of its file only where discovery is.

--- a/agent/src/config/mod.rs
+++ b/agent/src/config/mod.rs
@@ -5,7 +5,9 @@
 use crate::list::{self, List};
 use micasail::Settings;
 use micasail_settings::{Names, Params};
+use serde::de::DeserializeOwned;
 use serde::Deserialize;
+use serde_json::value::RawValue;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -16,6 +18,11 @@
 const SOCKETS_LEAST: usize = 80;
 const SOCKETS_MOST: usize = 1 << 20;
 
+/// What a server that is known takes, with all that is learned of it, in bytes (`lab scale list` measures 1.2 to 1.6 KB),
+/// and the part of the memory that all of them may take.
+const SERVER_BYTES: u64 = 2 << 10;
+const SERVERS_SHARE: u64 = 2;
+
 /// The part of the descriptors that clients may use for their requests, by the terms.
 const CLIENTS_SHARE: usize = 3;
 
@@ -42,6 +49,8 @@
     pub settings: Settings,
     /// The names in the settings and the limits of sockets.
     pub names: Names,
+    /// Servers that may be known at once; a list of more is not taken.
+    pub servers_most: usize,
     /// The server list as the agent last had it.
     pub known: List,
 }
@@ -60,11 +69,16 @@
     seed: Option<String>,
     #[serde(default)]
     limits: Limits,
-    #[serde(default)]
-    known: serde_json::Value,
+    known: Option<Box<RawValue>>,
     settings: Params,
 }
 
+/// What of the file counts after the start.
+#[derive(Deserialize)]
+struct Later {
+    discovery: Option<String>,
+}
+
 #[derive(Default, Deserialize)]
 #[serde(default)]
 struct Limits {
@@ -72,24 +86,22 @@
     memory_mb: Option<f64>,
 }
 
-impl File {
-    fn read(var: &impl Fn(&str) -> Option<String>) -> Result<Self, String> {
-        let path = PathBuf::from(var("PROXY_CONFIG").ok_or("PROXY_CONFIG is not set")?);
-        let text = std::fs::read(&path).map_err(|e| format!("cannot read {}: {e}", path.display()))?;
-        serde_json::from_slice(&text).map_err(|e| format!("{} is no configuration: {e}", path.display()))
-    }
+fn read<T: DeserializeOwned>(var: &impl Fn(&str) -> Option<String>) -> Result<T, String> {
+    let path = PathBuf::from(var("PROXY_CONFIG").ok_or("PROXY_CONFIG is not set")?);
+    let text = std::fs::read(&path).map_err(|e| format!("cannot read {}: {e}", path.display()))?;
+    serde_json::from_slice(&text).map_err(|e| format!("{} is no configuration: {e}", path.display()))
 }
 
 impl Config {
     /// Reads the configuration of this process; the error is one line for a person.
     pub fn load(var: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
-        Self::from_file(File::read(&var)?, var)
+        Self::from_file(read(&var)?, var)
     }
 
     /// Where discovery answers by the file as it is now. The variables tell what was so at the start, and the
     /// file has been replaced since: here it alone counts.
     pub fn discovery_now(var: impl Fn(&str) -> Option<String>) -> Result<SocketAddr, String> {
-        let address = File::read(&var)?.discovery.ok_or("the file names no discovery")?;
+        let address = read::<Later>(&var)?.discovery.ok_or("the file names no discovery")?;
         address.parse().map_err(|_| format!("discovery is {address:?}; an address was expected"))
     }
 
@@ -116,9 +128,12 @@
         let sockets = file.limits.sockets.unwrap_or(SOCKETS).min(SOCKETS_MOST);
         settings.at_once = Some((sockets / CLIENTS_SHARE) as u32);
         let seed = file.seed.unwrap_or_default();
+        let memory_mb = file.limits.memory_mb.unwrap_or(MEMORY_MB) as u64;
+        let servers_most = ((memory_mb << 20) / SERVERS_SHARE / SERVER_BYTES) as usize;
         let known = match file.known {
-            serde_json::Value::Null => List::default(),
-            value => list::parse_list(&value).map_err(|why| format!("known is no server list: {why}"))?,
+            None => List::default(),
+            Some(text) => list::read_list(text.get().as_bytes(), servers_most)
+                .map_err(|why| format!("known is no server list: {why}"))?,
         };
         Ok(Config {
             name: var("PROXY_NAME").or(file.name).unwrap_or_else(|| "agent".into()),
@@ -128,7 +143,8 @@
             // Any text makes a seed; only the form of the deployment's own is read as a number.
             seed: u64::from_str_radix(&seed, 16).unwrap_or_else(|_| micasail_settings::fnv1a(&seed)),
             sockets,
-            memory_mb: file.limits.memory_mb.unwrap_or(MEMORY_MB) as u64,
+            memory_mb,
+            servers_most,
             shared: var("PROXY_LISTEN_FD").is_some_and(|fd| !fd.is_empty()),
             settings,
             names,
--- a/agent/src/driver/mod.rs
+++ b/agent/src/driver/mod.rs
@@ -10,22 +10,21 @@
 use crate::config::Config;
 use crate::figures::{Attempts, Counts, Figures};
 use crate::forms::{PhaseOf, Renderer, ZonePhase};
-use crate::list::List;
 use crate::log::{Log, Tried};
-use crate::renderers::discovery::{Discovery, News};
+use crate::renderers::discovery::{Discovery, Listener, News, STEP};
 use crate::renderers::upstream::{Ended, Progress, Upstream};
 use crate::traffic::body::{Budget, Step};
 use hyper::StatusCode;
 use micasail::{
-    Action, AttemptNo, Balancer, Effect, Event, Fleet, Lessons, ListUpdate, Listed, Outcome, RequestId,
-    ServerId, SettingsError, Span, Status, Time, View, ZoneId,
+    Action, AttemptNo, Balancer, Effect, Event, Fleet, Lessons, ListUpdate, Outcome, RequestId, ServerId,
+    SettingsError, Span, Status, Time, View, ZoneId,
 };
 use micasail_settings::Names;
 use queue::{Clock, Queue};
 use requests::{outgoing, Answer, Arrival, Open, Requests};
 use servers::{place, Servers};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -83,8 +82,8 @@
         let state = State {
             queue: Queue::new(balancer, clock),
             requests: Requests::new(Log::new(clock.origin)),
-            servers: Servers::default(),
-            discovery: Discovery::new(config.discovery, connect_timeout),
+            servers: Servers::new(config.servers_most),
+            discovery: Discovery::new(config.discovery, connect_timeout, config.servers_most),
         };
         let driver = Rc::new(Driver {
             clock,
@@ -99,7 +98,8 @@
         });
         {
             let mut state = driver.state.borrow_mut();
-            let list = driver.take_list(&mut state, &config.known);
+            let describe = |server, host: &_| driver.upstream.describe(server, host);
+            let list = state.servers.begin(config.known, &driver.names, describe);
             state.queue.push(Event::List(ListUpdate::Saved(list)));
             for action in actions {
                 driver.carry_out(&mut state, action);
@@ -162,7 +162,7 @@
 
     /// The attempts at renderers that have left the list, by zone.
     pub fn left(&self) -> BTreeMap<String, Attempts> {
-        self.state.borrow().servers.left_by_zone().clone()
+        self.state.borrow().servers.left_by_zone(&self.figures.by_server())
     }
 
     /// The number of a server that has had this name.
@@ -187,7 +187,7 @@
 
     /// Takes a server out of use for the operators, or brings it back as one that was out until `at`.
     pub fn cordon(self: &Rc<Self>, name: &str, out: bool, at: Time) {
-        let server = self.state.borrow_mut().servers.intern(name);
+        let server = self.state.borrow_mut().servers.keep(name);
         // One that another process has seen go and come back is as cold here.
         self.tell([Event::Cordon { server }]);
         if !out {
@@ -220,15 +220,9 @@
     /// How the balancer uses each zone that the list names: as a whole, and for the classes where that differs.
     pub fn zone_phases(&self) -> BTreeMap<String, ZonePhase> {
         let state = self.state.borrow();
-        let names: HashMap<ZoneId, String> = state
-            .servers
-            .zones()
-            .map(|name| (ZoneId(place(&self.names.zones, name)), name.to_owned()))
-            .collect();
         let mut phases: BTreeMap<String, ZonePhase> = BTreeMap::new();
         for view in state.queue.balancer.zone_views() {
-            let Some(name) = names.get(&view.zone) else { continue };
-            let zone = phases.entry(name.clone()).or_default();
+            let zone = phases.entry(state.servers.zone_name(view.zone).to_owned()).or_default();
             let phase = format!("{:?}", view.phase).to_lowercase();
             match view.class.and_then(|class| self.names.classes.get(class.0)) {
                 Some(class) => {
@@ -325,36 +319,50 @@
         self.state.borrow_mut().requests.turned_away(request, status, why);
     }
 
-    /// News of discovery; `None` for a call that failed.
-    pub fn listed(self: &Rc<Self>, list: Option<List>) {
-        let update = {
+    /// What discovery says; whether there is more to be done about it than fits beside requests.
+    fn hear(self: &Rc<Self>, news: News) -> bool {
+        let (update, more) = {
             let mut state = self.state.borrow_mut();
-            match list {
-                None => ListUpdate::Failed,
-                Some(list) if list.whole => ListUpdate::Complete(self.take_list(&mut state, &list)),
-                Some(list) => ListUpdate::Changes(self.take_list(&mut state, &list)),
+            let describe = |server, host: &_| self.upstream.describe(server, host);
+            match news {
+                News::Called => {
+                    state.servers.called();
+                    return false;
+                }
+                News::Entries(entries) => {
+                    let lines = state.servers.take(entries, &self.names, describe);
+                    if lines.is_empty() {
+                        return false;
+                    }
+                    (ListUpdate::Part(lines), false)
+                }
+                News::Whole(_) | News::GoOn => {
+                    if let News::Whole(envelope) = news {
+                        state.servers.ends(envelope);
+                    }
+                    match state.servers.step(STEP, &self.names, describe) {
+                        (lines, true) => (ListUpdate::Changes(lines), false),
+                        (lines, false) => (ListUpdate::Part(lines), true),
+                    }
+                }
+                News::Failed => (ListUpdate::Failed, false),
+                News::Senseless => (ListUpdate::Senseless, false),
             }
         };
         self.tell([Event::List(update)]);
-    }
-
-    /// Takes in where the servers of a list are reached, and puts the list in the balancer's terms.
-    fn take_list(&self, state: &mut State, list: &List) -> Vec<Listed> {
-        let lines =
-            state.servers.take(list, &self.names, |server, host| self.upstream.describe(server, host));
-        if list.whole {
-            let named: HashSet<ServerId> = lines.iter().map(|line| line.server).collect();
-            self.upstream.keep_only(|server| named.contains(&server));
-            for (server, attempts) in self.figures.keep_only(|server| named.contains(&server)) {
-                state.servers.left(server, &attempts);
+        let mut state = self.state.borrow_mut();
+        while let Some((server, zone)) = state.servers.forget() {
+            self.upstream.forget(server);
+            if let Some(attempts) = self.figures.forget(server) {
+                state.servers.left(&zone, &attempts);
             }
         }
-        lines
+        more
     }
 
-    fn news(self: &Rc<Self>) -> News {
+    fn listener(self: &Rc<Self>) -> Listener {
         let driver = self.clone();
-        Rc::new(move |list| driver.listed(list))
+        Rc::new(move |news| driver.hear(news))
     }
 
     /// Discovery is at another address from now on.
@@ -362,7 +370,7 @@
         let mut state = self.state.borrow_mut();
         // Nobody says that both count versions alike.
         state.servers.seq = None;
-        state.discovery.moved(&self.news(), address);
+        state.discovery.moved(&self.listener(), address);
     }
 
     /// Wakes the balancer when a timer is due, and looks after idle connections; never ends.
@@ -429,16 +437,16 @@
             Action::CloseIdle { server } => self.upstream.close_idle(server),
             Action::Follow { active } => {
                 let seq = state.servers.seq;
-                state.discovery.follow(&self.news(), active, seq);
+                state.discovery.follow(&self.listener(), active, seq);
             }
-            Action::FetchList => state.discovery.fetch(&self.news()),
+            Action::FetchList => state.discovery.fetch(&self.listener()),
             // Agents of this deployment have no way to talk to each other, and the settings say so.
             Action::Tell { .. } => {}
             Action::Log { server, zone, text } => {
-                let known = zone.and_then(|zone| {
-                    state.servers.zones().find(|name| ZoneId(place(&self.names.zones, name)) == zone)
-                });
-                let zone = known.unwrap_or(server.map_or("", |s| state.servers.zone(s)));
+                let zone = match zone {
+                    Some(zone) => state.servers.zone_name(zone),
+                    None => server.map_or("", |s| state.servers.zone(s)),
+                };
                 let server = server.map_or("", |s| state.servers.name(s));
                 tracing::warn!(target: "decisions", server, zone, "{text}");
             }
--- a/agent/src/figures.rs
+++ b/agent/src/figures.rs
@@ -116,9 +116,9 @@
         self.1.borrow().clone()
     }
 
-    /// Forgets the renderers that are not among these; what was counted of them.
-    pub fn keep_only(&self, named: impl Fn(ServerId) -> bool) -> Vec<(ServerId, Attempts)> {
-        self.1.borrow_mut().extract_if(|server, _| !named(*server)).collect()
+    /// Forgets a renderer; what was counted of it.
+    pub fn forget(&self, server: ServerId) -> Option<Attempts> {
+        self.1.borrow_mut().remove(&server)
     }
 
     /// The last byte of an attempt has been written.
--- a/agent/src/renderers/upstream.rs
+++ b/agent/src/renderers/upstream.rs
@@ -17,7 +17,7 @@
 use hyper_util::rt::TokioIo;
 use micasail::{Outcome, ServerId};
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -222,6 +222,8 @@
 /// All backends and the connections to them.
 pub struct Upstream {
     remotes: RefCell<HashMap<ServerId, Remote>>,
+    /// Those with idle connections, and perhaps some that had: what looks after these must not walk all others.
+    resting: RefCell<HashSet<ServerId>>,
     held: Rc<Cell<usize>>,
     most: usize,
     figures: Rc<Figures>,
@@ -243,6 +245,7 @@
     ) -> Self {
         Upstream {
             remotes: RefCell::default(),
+            resting: RefCell::default(),
             held: Rc::default(),
             most,
             figures,
@@ -282,9 +285,9 @@
         }
     }
 
-    /// Forgets the backends that a whole list no longer names; what is out to them goes on.
-    pub fn keep_only(&self, named: impl Fn(ServerId) -> bool) {
-        self.remotes.borrow_mut().retain(|server, _| named(*server));
+    /// Forgets a backend; what is out to it goes on.
+    pub fn forget(&self, server: ServerId) {
+        self.remotes.borrow_mut().remove(&server);
     }
 
     /// Closes the idle connections to a backend.
@@ -296,9 +299,12 @@
 
     /// Closes the connections that have been idle for too long.
     pub fn sweep(&self) {
-        for remote in self.remotes.borrow_mut().values_mut() {
+        let mut remotes = self.remotes.borrow_mut();
+        self.resting.borrow_mut().retain(|server| {
+            let Some(remote) = remotes.get_mut(server) else { return false };
             remote.idle.retain(|c| c.idle_since.elapsed() < self.idle_most && !c.sender.is_closed());
-        }
+            !remote.idle.is_empty()
+        });
     }
 
     /// The most recently used connection that still stands, or a fresh one. Where the agent has no place for one
@@ -344,9 +350,10 @@
     fn place(&self) -> Option<Place> {
         if self.held.get() >= self.most {
             let mut remotes = self.remotes.borrow_mut();
-            let oldest =
-                remotes.values_mut().filter(|r| !r.idle.is_empty()).min_by_key(|r| r.idle[0].idle_since);
-            oldest?.idle.remove(0);
+            let since = |server: &ServerId| remotes.get(server)?.idle.first().map(|c| c.idle_since);
+            let resting = self.resting.borrow();
+            let oldest = resting.iter().filter_map(|server| Some((since(server)?, *server))).min();
+            remotes.get_mut(&oldest?.1)?.idle.remove(0);
         }
         self.held.set(self.held.get() + 1);
         Some(Place(self.held.clone()))
@@ -364,6 +371,7 @@
         let Some(remote) = remotes.get_mut(&connection.server) else { return };
         if remote.open && leads_there && !connection.sender.is_closed() {
             connection.idle_since = Instant::now();
+            self.resting.borrow_mut().insert(connection.server);
             remote.idle.push(connection);
         }
     }
--- a/lab/src/scripted.rs
+++ b/lab/src/scripted.rs
@@ -171,6 +171,10 @@
     Down,
     /// Says nothing.
     Mute,
+    /// Answers with these bytes as they are; the connection stays.
+    Bytes(Vec<u8>),
+    /// Answers with the first bytes, and with the others for as long as they are read.
+    Endless(Vec<u8>, Vec<u8>),
 }
 
 /// A discovery service that shows the test each call.
@@ -215,6 +219,13 @@
                             Mood::List(list) => ok(&list.to_string()),
                             Mood::Down => b"HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n".to_vec(),
                             Mood::Mute => continue,
+                            Mood::Bytes(bytes) => bytes,
+                            Mood::Endless(bytes, again) => {
+                                if stream.write_all(&bytes).await.is_ok() {
+                                    while stream.write_all(&again).await.is_ok() {}
+                                }
+                                return;
+                            }
                         };
                         if stream.write_all(&reply).await.is_err() {
                             return;
--- a/src/api.rs
+++ b/src/api.rs
@@ -569,8 +569,10 @@
 /// News of the server list.
 #[derive(Debug, Clone, PartialEq)]
 pub enum ListUpdate {
-    /// The changed lines only.
+    /// The changed lines only, or the last of them.
     Changes(Vec<Listed>),
+    /// Changed lines of an answer that is still being taken in: it may yet come to nothing.
+    Part(Vec<Listed>),
     /// The whole list: what it leaves out has left.
     Complete(Vec<Listed>),
     /// The whole list as it was saved before a restart; may be stale.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -891,19 +891,20 @@
     // ---- the list and the clock ---------------------------------------------------------------------
 
     fn list(&mut self, now: Time, update: ListUpdate, out: &mut Vec<Action>) {
+        let part = matches!(update, ListUpdate::Part(_));
         let (lines, complete) = match update {
             ListUpdate::Failed | ListUpdate::Senseless => {
                 let jitter = 0.5 + self.rng.f64();
                 self.ask_at = Some(now + self.ask_pause * jitter);
                 let alike = update == ListUpdate::Failed && self.settings.discovery == Discovery::Pushed;
-                let longer = if alike { 1.0 } else { 2.0 };
-                self.ask_pause = (self.ask_pause * longer).min(self.settings.ask_within);
+                self.ask_pause =
+                    (self.ask_pause * if alike { 1.0 } else { 2.0 }).min(self.settings.ask_within);
                 return;
             }
-            ListUpdate::Changes(lines) => (lines, false),
+            ListUpdate::Part(lines) | ListUpdate::Changes(lines) => (lines, false),
             ListUpdate::Complete(lines) | ListUpdate::Saved(lines) => (lines, true),
         };
-        self.ask_pause = self.ask_round();
+        self.ask_pause = if part { self.ask_pause } else { self.ask_round() };
         self.take_lines(now, lines, complete, LIMIT_FIRST);
         self.reopen(now, out);
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -107,7 +107,7 @@
             }
             Event::List(update) => {
                 let (lines, whole) = match update {
-                    ListUpdate::Changes(lines) => (lines, false),
+                    ListUpdate::Part(lines) | ListUpdate::Changes(lines) => (lines, false),
                     ListUpdate::Complete(lines) | ListUpdate::Saved(lines) => (lines, true),
                     ListUpdate::Failed | ListUpdate::Senseless => return,
                 };
--- a/tests/crowd_at_discovery.rs
+++ b/tests/crowd_at_discovery.rs
@@ -86,3 +86,29 @@
         assert_eq!(calls(&rig.wait(Span::from_ms(390.0))), 1);
     }
 }
+
+/// An answer that was of no use is asked for in pauses that double up to what the site asks, also where news are pushed, and
+/// entries of an answer that then comes to nothing do not shorten them. One that ends as it should does.
+#[test]
+fn answers_of_no_use_are_asked_for_less_and_less() {
+    let settings = Settings { classes: vec![class(Effect::Idempotent)], ..Settings::default() };
+    let most = settings.ask_within;
+    let mut rig = Rig::new(settings, 3);
+    let pause = |rig: &mut Rig| {
+        rig.tell(Event::List(ListUpdate::Part(vec![Listed::serving(ServerId(1))])));
+        rig.tell(Event::List(ListUpdate::Senseless));
+        let (from, tick) = (rig.now, Span::from_ms(50.0));
+        while calls(&rig.wait(tick)) == 0 {
+            assert!(rig.now.since(from) <= most * 2.0, "it is never asked again");
+        }
+        rig.now.since(from).ms()
+    };
+    let pauses: Vec<f64> = (0..12).map(|_| pause(&mut rig)).collect();
+    // Each is spread over a half to one and a half of what it is on the mean, and seen to a tick or two.
+    for (doubled, is) in pauses.iter().enumerate() {
+        let mean = (200.0 * 2f64.powi(doubled as i32)).min(most.ms());
+        assert!((0.5 * mean..=1.5 * mean + 100.0).contains(is), "pause {doubled} of {pauses:?}");
+    }
+    rig.tell(Event::List(ListUpdate::Changes(Vec::new())));
+    assert!(pause(&mut rig) <= 400.0, "the pauses begin anew");
+}
