--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -3,6 +3,7 @@
 //! A scenario and a seed make a plan; a play carries it out on loopback sockets; the oracle judges from what crossed
 //! them. See `docs/proving-ground.md`.
 
+pub mod capacity;
 pub mod clock;
 pub mod compare;
 pub mod draw;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -43,6 +43,8 @@
     Compare(Compare),
     /// Finds what an agent on one core bears and costs, beside a bare relay
     Saturate(Saturate),
+    /// Works out the tables of docs/CAPACITY.md, or holds the page against them
+    Capacity(micasail_lab::capacity::Args),
     /// The bare relay
     #[command(hide = true)]
     Relay,
@@ -159,6 +161,7 @@
         Command::Sweep(args) => sweep(&args),
         Command::Compare(args) => compare(&args),
         Command::Saturate(args) => saturate(&args),
+        Command::Capacity(args) => micasail_lab::capacity::run(&args),
         Command::Relay => {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let ended = runtime.map_err(|e| e.to_string()).and_then(|r| r.block_on(saturate::relay()));
