--- a/lab/src/capacity/formula.rs
+++ b/lab/src/capacity/formula.rs
@@ -1,5 +1,5 @@
-//! The formulas of the capacity file: numbers (`29_000`, `1e-6`), names, `+ - * / ^`, parentheses, `min(a, b)`, `max(a, b)`, and
-//! `slope(x)` for a measured slope at `x`.
+//! The formulas of the capacity file: numbers (`29_000`, `1e-6`), names, `+ - * / ^`, parentheses, `min(a, b)`,
+//! `max(a, b)`, and `slope(x)` for a measured slope at `x`.
 
 use std::collections::BTreeSet;
 use std::iter::Peekable;
@@ -8,7 +8,7 @@
 /// No formula is longer, which also bounds how deep one can nest.
 const LONGEST: usize = 400;
 /// A power is worked out by as many multiplications, so that its last bit is the same on every machine.
-const POWER_MOST: f64 = 1000.0;
+pub const POWER_MOST: f64 = 1000.0;
 
 /// A formula as read.
 #[derive(Debug, Clone, PartialEq)]
--- a/lab/src/capacity/input.rs
+++ b/lab/src/capacity/input.rs
@@ -1,6 +1,6 @@
 //! The capacity file: the plan, bounds in the code, assumptions, measured slopes, and the lines that follow from them.
 
-use super::formula::Expr;
+use super::formula::{Expr, POWER_MOST};
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
 use toml::{Table, Value};
@@ -624,8 +624,14 @@
                 ));
             }
         }
-        if !self.hops.is_empty() && !self.plan.contains_key(DEPTH) {
-            return Err(format!("{file}: plan.{DEPTH} is missing; [[hop]] goes by it"));
+        if !self.hops.is_empty() {
+            let Some(depth) = self.plan.get(DEPTH).map(|depth| depth.value) else {
+                return Err(format!("{file}: plan.{DEPTH} is missing; [[hop]] goes by it"));
+            };
+            if depth.fract() != 0.0 || depth > POWER_MOST {
+                let most = format!("a whole number, {POWER_MOST} at most,");
+                return Err(format!("{file}: plan.{DEPTH}.value is {depth}; {most} was expected"));
+            }
         }
         used.insert(DEPTH.to_owned());
         for (kind, names) in &kinds {
--- a/lab/tests/capacity.rs
+++ b/lab/tests/capacity.rs
@@ -143,6 +143,8 @@
     for (change, why) in [
         (page(|page| page.replace(row, "")), "table plan differs"),
         (page(|page| page.replace(row, &row.repeat(2))), "table plan differs"),
+        (page(|page| page.replace(&format!("{row}\n"), &format!("{row}\nmore\n"))), "table plan differs"),
+        (page(|page| page.replace(&format!("{row}\n"), row)), "table plan differs"),
         (
             page(|page| {
                 page.replace("<!-- lab capacity: plan -->", "").replace("<!-- end -->\n\nBounds", "Bounds")
@@ -347,11 +349,23 @@
         // Keys and sections that nobody knows.
         ("[plan]", "[plant]\n[plan]", "plant is a table; no such section is known"),
         ("[plan]", "colour = 3\n[plan]", "colour is 3; no such section is known"),
-        ("what = \"planned\" }\ndepth", "what = \"planned\", odd = 1 }\ndepth", "plan.size.odd is 1; no such key is known, but value, unit, what"),
+        (
+            "what = \"planned\" }\ndepth",
+            "what = \"planned\", odd = 1 }\ndepth",
+            "plan.size.odd is 1; no such key is known, but value, unit, what",
+        ),
         ("runs = 12", "runs = 12\nmedian = 4", "slope.cost_s.median is 4; no such key"),
-        ("mechanism = \"code.rs\"", "mechanism = \"code.rs\"\nweek = \"1\"", "figure 1.week is \"1\"; no such key"),
+        (
+            "mechanism = \"code.rs\"",
+            "mechanism = \"code.rs\"\nweek = \"1\"",
+            "figure 1.week is \"1\"; no such key",
+        ),
         ("minute =", "hour =", "figure 1.hour is \"cost_s(some)\"; no such key"),
-        ("missing = [\"release\"]", "missing = [\"hour\"]", "figure 1.missing is \"hour\"; one of minute, release, zone, cut, restart was expected"),
+        (
+            "missing = [\"release\"]",
+            "missing = [\"hour\"]",
+            "figure 1.missing is \"hour\"; one of minute, release, zone, cut, restart was expected",
+        ),
         ("role = \"staff\"", "role = \"cook\"", "figure 2.role is \"cook\"; one of agent, renderer"),
         ("[hop]", "[hip]", "hip is an array; no such section is known"),
         ("[plan]\n", "[plan\n", "small.toml: line 2: "),
@@ -364,38 +378,108 @@
         ("slope = 0.1", "slope = inf", "slope.cost_s.slope is inf; a finite number was expected"),
         ("value = 1_000", "value = \"many\"", "plan.size.value is \"many\"; a finite number was expected"),
         ("value = 1_000, ", "", "plan.size.value is missing; a number was expected"),
-        ("unit = \"things\", what = \"planned\"", "what = \"planned\"", "plan.size.unit is missing; a text was expected"),
-        ("why = \"a guess\"", "why = \"a | guess\"", "assumption.share.why is \"a | guess\"; a text of one line without | was expected"),
+        (
+            "unit = \"things\", what = \"planned\"",
+            "what = \"planned\"",
+            "plan.size.unit is missing; a text was expected",
+        ),
+        (
+            "why = \"a guess\"",
+            "why = \"a | guess\"",
+            "assumption.share.why is \"a | guess\"; a text of one line without | was expected",
+        ),
         ("size = { value", "Size = { value", "plan.Size: a name of small letters, digits and _ was expected"),
         // Slopes.
         ("from = 10\n", "from = 300\n", "slope.cost_s.from is 300; no more than to, 250, was expected"),
         ("from = 10\n", "from = -10\n", "slope.cost_s.from is -10; 0 or more was expected"),
         ("low = 0.09", "low = 0.3", "slope.cost_s.low is 0.3; no more than high, 0.2, was expected"),
-        ("slope = 0.1", "slope = 0.5", "slope.cost_s.slope is 0.5; a figure within its interval, 0.09 to 0.2, was expected"),
-        ("low = 0.09\n", "", "slope.cost_s.low is missing; the interval of what was run more than once was expected"),
-        ("high = 0.2\n", "", "slope.cost_s.high is missing; the interval of what was run more than once was expected"),
+        (
+            "slope = 0.1",
+            "slope = 0.5",
+            "slope.cost_s.slope is 0.5; a figure within its interval, 0.09 to 0.2, was expected",
+        ),
+        (
+            "low = 0.09\n",
+            "",
+            "slope.cost_s.low is missing; the interval of what was run more than once was expected",
+        ),
+        (
+            "high = 0.2\n",
+            "",
+            "slope.cost_s.high is missing; the interval of what was run more than once was expected",
+        ),
         ("runs = 12", "runs = 0", "slope.cost_s.runs is 0; a whole number, 1 or more was expected"),
         ("runs = 12", "runs = -2", "slope.cost_s.runs is -2; a whole number, 1 or more was expected"),
         ("load = 1.5", "load = -1", "slope.cost_s.load is -1; 0 or more was expected"),
         ("by = \"lab scale test\"\n", "", "slope.cost_s.by is missing; a text was expected"),
-        ("other_s = \"nobody yet\"", "other_s = 1", "not_measured.other_s is 1; a text that says what will measure it was expected"),
+        (
+            "other_s = \"nobody yet\"",
+            "other_s = 1",
+            "not_measured.other_s is 1; a text that says what will measure it was expected",
+        ),
         // Names that stand for nothing.
-        ("[not_measured]\nother_s = \"nobody yet\"", "", "figure 1 (agent: cost).cut is \"other_s(some)\": nothing is called other_s; a slope is entered under [slope]"),
-        ("all = \"some / 25\"", "all = \"sum / 25\"", "figure 2 (staff: text).all is \"sum / 25\": nothing is called sum; a name under plan"),
-        ("zone = \"cost_s(100)\"", "zone = \"some(100)\"", "figure 1 (agent: cost).zone is \"some(100)\": some is no slope"),
-        ("budget = \"most\"", "budget = \"moat\"", "figure 2 (staff: text).budget is \"moat\": nothing is called moat"),
-        ("formula = \"size * share\"", "formula = \"size * shore\"", "let.some.formula is \"size * shore\": nothing is called shore"),
+        (
+            "[not_measured]\nother_s = \"nobody yet\"",
+            "",
+            "figure 1 (agent: cost).cut is \"other_s(some)\": nothing is called other_s; a slope is \
+             entered under [slope]",
+        ),
+        (
+            "all = \"some / 25\"",
+            "all = \"sum / 25\"",
+            "figure 2 (staff: text).all is \"sum / 25\": nothing is called sum; a name under plan",
+        ),
+        (
+            "zone = \"cost_s(100)\"",
+            "zone = \"some(100)\"",
+            "figure 1 (agent: cost).zone is \"some(100)\": some is no slope",
+        ),
+        (
+            "budget = \"most\"",
+            "budget = \"moat\"",
+            "figure 2 (staff: text).budget is \"moat\": nothing is called moat",
+        ),
+        (
+            "formula = \"size * share\"",
+            "formula = \"size * shore\"",
+            "let.some.formula is \"size * shore\": nothing is called shore",
+        ),
         ("formula = \"size * share\"", "formula = \"some * share\"", "let.some.formula goes by itself"),
         ("depth = { value = 22, unit = \"calls\", what = \"planned\" }", "", "plan.depth is missing"),
-        ("[bound]", "idle = { value = 1, unit = \"x\", what = \"x\" }\n[bound]", "plan.idle: no line uses it"),
-        ("[let]", "[let]\nsize = { formula = \"1\", unit = \"x\", what = \"x\" }", "let.size is a name under plan as well"),
+        ("value = 22", "value = 2.5", "plan.depth.value is 2.5; a whole number, 1000 at most, was expected"),
+        (
+            "[bound]",
+            "idle = { value = 1, unit = \"x\", what = \"x\" }\n[bound]",
+            "plan.idle: no line uses it",
+        ),
+        (
+            "[let]",
+            "[let]\nsize = { formula = \"1\", unit = \"x\", what = \"x\" }",
+            "let.size is a name under plan as well",
+        ),
         // Formulas that make no sense, or come to no figure.
-        ("zone = \"cost_s(100)\"", "zone = \"cost_s(100\"", "figure 1.zone is \"cost_s(100\": it ends where ')' was expected"),
-        ("zone = \"cost_s(100)\"", "zone = \"size / (size - 1_000)\"", "\"size / (size - 1_000)\": comes to inf, no finite figure"),
+        (
+            "zone = \"cost_s(100)\"",
+            "zone = \"cost_s(100\"",
+            "figure 1.zone is \"cost_s(100\": it ends where ')' was expected",
+        ),
+        (
+            "zone = \"cost_s(100)\"",
+            "zone = \"size / (size - 1_000)\"",
+            "\"size / (size - 1_000)\": comes to inf, no finite figure",
+        ),
         ("zone = \"cost_s(100)\"", "zone = \"2 ^ share\"", "\"2 ^ share\": the power 0.5 is no whole number"),
         ("budget = \"60\"", "budget = \"0\"", "the budget \"0\" is 0; more than 0 was expected"),
-        ("budget = \"60\"", "budget = \"other_s\"", "the budget \"other_s\" is not measured; more than 0 was expected"),
-        ("all = \"some / 25\"\n", "", "figure 2.all is missing; a formula for all states or for some was expected"),
+        (
+            "budget = \"60\"",
+            "budget = \"other_s\"",
+            "the budget \"other_s\" is not measured; more than 0 was expected",
+        ),
+        (
+            "all = \"some / 25\"\n",
+            "",
+            "figure 2.all is missing; a formula for all states or for some was expected",
+        ),
     ];
     for (from, to, why) in whole {
         assert!(SMALL.contains(from), "{from}");
