Let the pause grow after answers of discovery that are of no use, pushed lists too

Cause: where lists are pushed the pause before the next call never grows, as mere failures are refusals or silence of a source that lies beside. An answer that was read and is too large or no list was told as the same failure, and was asked for some five times a second for ever.

Change: `ListUpdate::Senseless` says that an answer came and is of no use: the pause doubles up to `ask_within` whether lists are pushed or asked for, until news come that can be used. `ListUpdate::Failed` is as it was. The observer of the tests takes the new word as it takes a failure.

Result: tests/senseless_answers.rs: ten pauses from 0.2 s doubled up to 10 s on both ways of discovery, and those after mere failures unchanged; the first of them fails if the new word is treated as the old one.

--- a/src/api.rs
+++ b/src/api.rs
@@ -577,6 +577,10 @@
     Saved(Vec<Listed>),
     /// A call or the subscription failed; what was known still stands.
     Failed,
+    /// A call was answered, and the answer is of no use: it is too large, or no list. What was known still stands, and
+    /// the pause before the next call doubles up to [`Settings::ask_within`], also where the list is pushed: asked again
+    /// soon, the same service would say the same again. The next news that can be used ends that.
+    Senseless,
 }
 
 /// A request that a client has handed over.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -892,10 +892,11 @@
 
     fn list(&mut self, now: Time, update: ListUpdate, out: &mut Vec<Action>) {
         let (lines, complete) = match update {
-            ListUpdate::Failed => {
+            ListUpdate::Failed | ListUpdate::Senseless => {
                 let jitter = 0.5 + self.rng.f64();
                 self.ask_at = Some(now + self.ask_pause * jitter);
-                let longer = if self.settings.discovery == Discovery::Pushed { 1.0 } else { 2.0 };
+                let alike = update == ListUpdate::Failed && self.settings.discovery == Discovery::Pushed;
+                let longer = if alike { 1.0 } else { 2.0 };
                 self.ask_pause = (self.ask_pause * longer).min(self.settings.ask_within);
                 return;
             }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -109,7 +109,7 @@
                 let (lines, whole) = match update {
                     ListUpdate::Changes(lines) => (lines, false),
                     ListUpdate::Complete(lines) | ListUpdate::Saved(lines) => (lines, true),
-                    ListUpdate::Failed => return,
+                    ListUpdate::Failed | ListUpdate::Senseless => return,
                 };
                 let named: BTreeSet<ServerId> = lines.iter().map(|l| l.server).collect();
                 if whole {
--- /dev/null
+++ b/tests/senseless_answers.rs
@@ -0,0 +1,53 @@
+//! Pauses before the list is asked for again: an answer of no use is not asked for three times a second for ever.
+mod common;
+use common::*;
+use micasail::*;
+
+fn rig(discovery: Discovery) -> Rig {
+    let classes = vec![class(Effect::Idempotent)];
+    let mut rig = Rig::new(Settings { discovery, classes, ..Settings::default() }, 3);
+    rig.list(fleet(6, 2, 2));
+    rig
+}
+
+/// How long it takes to ask again after each of these, in milliseconds.
+fn pauses(rig: &mut Rig, update: &ListUpdate, times: usize) -> Vec<f64> {
+    let mut pause = || {
+        rig.tell(Event::List(update.clone()));
+        let from = rig.now;
+        while !rig.wait(Span::from_ms(10.0)).iter().any(|a| matches!(a, Action::Follow { active: true })) {
+            assert!(rig.now.since(from) < Span::from_ms(60_000.0), "it never asks again");
+        }
+        rig.now.since(from).ms()
+    };
+    (0..times).map(|_| pause()).collect()
+}
+
+#[test]
+fn pauses_grow_where_answers_make_no_sense() {
+    for discovery in [Discovery::Pushed, Discovery::OnRequest] {
+        let mut rig = rig(discovery);
+        let pauses = pauses(&mut rig, &ListUpdate::Senseless, 10);
+        // Each pause lies between half and one and a half of its figure, and a tick later at most.
+        assert!(pauses[0] <= 360.0, "{discovery:?}: {pauses:?}");
+        for (i, pause) in pauses.iter().enumerate() {
+            let figure = (200.0 * 2f64.powi(i as i32)).min(10_000.0);
+            let within = 0.5 * figure..=1.5 * figure + 60.0;
+            assert!(within.contains(pause), "{discovery:?}, pause {i} of {figure} ms: {pauses:?}");
+        }
+        // What was known stands, and news that can be used ends it.
+        assert!(rig.ask(0).1.is_some());
+        rig.list(fleet(6, 2, 2));
+        let again = self::pauses(&mut rig, &ListUpdate::Senseless, 1);
+        assert!(again[0] <= 360.0, "{discovery:?}: {again:?}");
+    }
+}
+
+/// Silence and refusal are as they were: where news are pushed the source lies beside, and is asked soon.
+#[test]
+fn pauses_stay_where_pushed_lists_only_fail_to_come() {
+    let pushed = pauses(&mut rig(Discovery::Pushed), &ListUpdate::Failed, 10);
+    assert!(pushed.iter().all(|pause| (100.0..=360.0).contains(pause)), "{pushed:?}");
+    let asked = pauses(&mut rig(Discovery::OnRequest), &ListUpdate::Failed, 8);
+    assert!(asked[7] >= 5000.0, "{asked:?}");
+}
