Keep what is known over all servers by increments: cost by what changed

Need: every change of the list and every tick walked all servers, a suspicion and a zone's trial too, and a pick that found all its draws full walked them for each held request. With 29,000 servers an idle tick (20 a second) cost 1.5 to 2 ms.

Change: src/index.rs holds three plain indexes (groups with constant insert, removal and draw; dues by time; a running median), and `refile` files one server in all of them after a change; it decides nothing and changes nothing if nothing changed. Serving, own zone, region, zones, cells, suspects, warming and untried servers are kept so. The median is exact, from two ordered halves, at the cost of those whose pace has changed since the last tick. Repeats bound to a zone or cell draw from it alone. The last resort of a pick looks at 256 servers from a random place on: as before in fleets of that size, else a part of them. Requests, keys and zones name servers by id and no longer by place in the table.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,8 +23,11 @@
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { request: RequestId(1), .. })));
 //! ```
 mod api;
+mod index;
 mod logic;
 mod records;
+#[cfg(test)]
+mod tests;
 mod zones;
 
 pub use api::*;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -15,6 +15,9 @@
 /// common level under which the fleet is in a jam.
 const NEAR_DRAWS: usize = 3;
 const NEAR_LEVEL: f64 = 0.8;
+/// Servers that a pick looks at, from a random place on, if all draws fail: all of a fleet that is no larger.
+/// Of a larger one with one in fifty ready, 199 of 200 picks find some; the others wait for the next tick.
+const LOOKS: usize = 256;
 /// Both of a blind balancer that pays for handshakes: its requests in flight are each on another server, and
 /// the next one should find a remembered server whose connection is idle.
 const REMEMBERED_BLIND: usize = 12;
@@ -218,7 +221,7 @@
             }
             Event::List(update) => self.list(now, update, out),
             Event::Regions(regions) => {
-                self.regions = regions;
+                self.set_regions(regions);
                 self.reopen(now, out);
             }
             Event::Learned(lessons) => self.learned(now, lessons),
@@ -234,8 +237,7 @@
                 if self.left.remove(&zone) {
                     // What was learned stands; but all balancers return in the same moment.
                     self.of_zone(zone, |s| s.returned = Some(at));
-                    let there = |i: &usize| self.servers[*i].listed.zone == zone;
-                    let there: Vec<usize> = (0..self.servers.len()).filter(there).collect();
+                    let there = self.in_zone.of(zone).to_vec();
                     there.into_iter().for_each(|i| self.try_again(i, at));
                     self.reopen(now, out);
                 }
@@ -368,7 +370,8 @@
             (Some(first), Effect::Deduplicated { window, .. }) => now > first.sent + window,
             _ => false,
         };
-        !late && rest.first().is_some_and(|this| self.servers[this.server].open)
+        let this = rest.first().and_then(|this| self.index.get(&this.server));
+        !late && this.is_some_and(|&i| self.servers[i].open)
     }
 
     // ---- the pick -----------------------------------------------------------------------------------
@@ -468,7 +471,7 @@
         let warmth = self.warmth(s, now);
         let share = || warmth * self.warm_sent.now(now);
         let owed = || s.try_by.is_some_and(|by| now >= by);
-        let cold = warmth < 1.0 && self.warm > 0 && s.cold_sent.now(now) + work > share() && !owed();
+        let cold = warmth < 1.0 && self.warm() > 0 && s.cold_sent.now(now) + work > share() && !owed();
         rested && !cold && f64::from(s.at_work()) + 1.0 <= (limit * warmth).max(1.0)
     }
 
@@ -477,11 +480,10 @@
     /// is near, although an idle one is there. Which is lightest of all is not touched by where it was drawn.
     /// In a jam any room counts.
     /// Draws are by rejection, four tries each, so that a pick costs the same in a large fleet; only if all
-    /// fail is each server looked at, and those that were tried before come last.
+    /// fail is each server looked at, of a large fleet `LOOKS`, and those that were tried before come last.
     fn candidates(&mut self, now: Time, ask: &Pick) -> Vec<usize> {
-        let due =
-            |i: &&usize| self.servers[**i].try_by.is_some_and(|by| now >= by) && self.ready(now, **i, ask);
-        if let Some(&untried) = self.untried.iter().find(due) {
+        let owed = self.untried.due(now).take(TRIES_MOST as usize).find(|i| self.ready(now, *i, ask));
+        if let Some(untried) = owed {
             return vec![untried];
         }
         if let Some(trial) = self.zone_trial(now, ask) {
@@ -494,11 +496,12 @@
         for (round, draws, looks) in [(0, near, near), (1, near, near), (2, draws, 4 * draws)] {
             let most = found.len() + draws;
             for _ in 0..looks {
-                let pool = [&self.near, &self.region, &self.serving][round];
-                if found.len() >= most || pool.is_empty() {
+                let all = self.pool(round, ask.reach).len();
+                if found.len() >= most || all == 0 {
                     break;
                 }
-                let i = pool[self.rng.usize(0..pool.len())];
+                let at = self.rng.usize(0..all);
+                let i = self.pool(round, ask.reach)[at];
                 if !ask.tried.contains(&i) && self.ready(now, i, ask) && self.passes(now, i, ask) {
                     found.push(i);
                 }
@@ -510,9 +513,13 @@
             }
         }
         if found.is_empty() {
-            let none = !self.serving.iter().any(|&i| self.spills(i));
-            let ready = |i: &usize| self.ready(now, *i, ask) && (none || self.spills(*i));
-            let open = self.serving.iter().copied().filter(ready);
+            let all = self.pool(2, ask.reach).len();
+            let first = if all > LOOKS { self.rng.usize(0..all) } else { 0 };
+            let (before, after) = self.pool(2, ask.reach).split_at(first);
+            let none = !self.open_in.groups().any(|zone| self.spills(zone));
+            let spills = |i: usize| none || self.spills(self.servers[i].listed.zone);
+            let ready = |i: &usize| self.ready(now, *i, ask) && spills(*i);
+            let open = after.iter().chain(before).take(LOOKS).copied().filter(ready);
             let (again, fresh): (Vec<_>, Vec<_>) = open.partition(|i| ask.tried.contains(i));
             let open = if fresh.is_empty() { again } else { fresh };
             found.extend((0..draws.min(open.len())).map(|_| open[self.rng.usize(0..open.len())]));
@@ -645,6 +652,7 @@
         }
         self.zone_learns(now, &flight, &(outcome, elapsed, None), out);
         self.learn(now, &flight, outcome, elapsed, out);
+        self.note_learned(&flight);
         self.let_go(flight.server, out);
         let id = key.0;
         if closed {
@@ -848,8 +856,7 @@
         if self.blind {
             return self.doubt(now, server, out);
         }
-        let all = self.serving.len() as f64;
-        let suspects = self.serving.iter().filter(|&&i| self.servers[i].suspicion.is_some()).count();
+        let (all, suspects) = (self.serving.of(true).len() as f64, self.suspects.len());
         let s = &mut self.servers[server];
         if s.suspicion.is_some() || (suspects + 1) as f64 > SUSPECT_SHARE * all {
             return;
@@ -859,6 +866,7 @@
         let text =
             format!("server {} {why}: pace {:.2} of median {:.2}", s.listed.server.0, s.pace, self.median);
         out.push(Action::Log { server: Some(s.listed.server), zone: None, text });
+        self.refile(server);
     }
 
     /// A blind balancer meets a server too seldom for trials: those of all balancers together would be a load
@@ -908,26 +916,19 @@
         self.reopen(now, out);
     }
 
-    /// Takes in which servers the list and the operators let be sent anything; every change of either ends
-    /// here, and the gate asks what is kept with each server.
+    /// Whether the list and the operators let a server be sent anything.
+    pub(crate) fn opens(&self, s: &Server) -> bool {
+        let held_back = self.cordoned.contains(&s.listed.server) || self.left.contains(&s.listed.zone);
+        s.listed.status == Status::Serving && !held_back
+    }
+
+    /// Follows what the list and the operators let be sent anything, once the servers concerned are filed.
     fn reopen(&mut self, now: Time, out: &mut Vec<Action>) {
-        let mut listed = false;
-        for s in &mut self.servers {
-            let serving = s.listed.status == Status::Serving;
-            let held_back = self.cordoned.contains(&s.listed.server) || self.left.contains(&s.listed.zone);
-            s.open = serving && !held_back;
-            listed |= serving;
-        }
-        let servers = &self.servers;
-        self.serving = (0..servers.len()).filter(|&i| servers[i].open).collect();
-        let own = self.settings.zone;
-        self.near = self.serving.iter().copied().filter(|&i| servers[i].listed.zone == own).collect();
-        let in_region = |zone: ZoneId| zone != own && !self.regions.is_empty() && !self.beyond(zone);
-        self.region = self.serving.iter().copied().filter(|&i| in_region(servers[i].listed.zone)).collect();
-        self.memory.retain(|&m| servers[m].open);
-        self.shut = listed && self.serving.is_empty();
-        self.warm = self.serving.iter().filter(|&&i| self.warmth(&self.servers[i], now) >= 1.0).count();
-        self.most = self.most.max(self.serving.len());
+        self.memory.retain(|&m| self.servers[m].open);
+        self.settle(now);
+        let serving = self.serving.of(true).len();
+        self.shut = serving == 0 && !self.serving.of(false).is_empty();
+        self.most = self.most.max(serving);
         self.blind = self.settings.balancers as usize > self.most;
         self.pump(now, out);
     }
@@ -946,6 +947,7 @@
     fn cordon(&mut self, now: Time, server: ServerId, out: &mut Vec<Action>) {
         if self.cordoned.insert(server) {
             out.push(Action::CloseIdle { server });
+            self.index.get(&server).copied().into_iter().for_each(|i| self.refile(i));
             self.reopen(now, out);
         }
     }
@@ -971,9 +973,8 @@
         let by = at + TRY_WITHIN * self.rng.f64();
         if self.rng.f64() < chance {
             self.servers[i].try_by = Some(by);
-            self.untried.retain(|&u| u != i);
-            self.untried.push(i);
         }
+        self.refile(i);
     }
 
     fn set_tick(&mut self, now: Time, after: Span, out: &mut Vec<Action>) {
@@ -990,7 +991,7 @@
             out.push(Action::Follow { active: true });
         }
         self.set_median();
-        self.warm = self.serving.iter().filter(|&&i| self.warmth(&self.servers[i], now) >= 1.0).count();
+        self.settle(now);
         self.rank_classes();
         self.find_silent(now, out);
         self.probe_zones(now, out);
--- a/src/records.rs
+++ b/src/records.rs
@@ -1,6 +1,7 @@
 //! What the decisions keep of requests, attempts and servers: records only, nothing is decided here.
 
 use crate::api::*;
+use crate::index::*;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Keys remembered; past that all are forgotten, which costs each of them one cold run.
@@ -77,7 +78,7 @@
 
 #[derive(Debug, Clone)]
 pub(crate) struct Attempt {
-    pub(crate) server: usize,
+    pub(crate) server: ServerId,
     pub(crate) zone: ZoneId,
     pub(crate) cell: CellId,
     pub(crate) sent: Time,
@@ -139,6 +140,8 @@
     pub(crate) stretch: f64,
     /// Smoothed answer time as a share of the class's aim.
     pub(crate) pace: f64,
+    /// Its pace may have changed since the last median.
+    pub(crate) pace_noted: bool,
     pub(crate) samples: u32,
     pub(crate) failures: u32,
     /// Answers that broke off of late.
@@ -178,6 +181,7 @@
             uploading: 0,
             stretch: 1.0,
             pace: 0.0,
+            pace_noted: false,
             samples: 0,
             failures: 0,
             broken: 0.0,
@@ -202,9 +206,9 @@
 
     /// A new process on the same machine: what was learned of the old one says nothing, and it is cold.
     pub(crate) fn renew(&mut self, listed: Listed, limit: f64, now: Time) {
-        let Server { in_flight, uploading, last_answer, returned, try_by, .. } = *self;
+        let Server { in_flight, uploading, last_answer, returned, try_by, pace_noted, .. } = *self;
         let new = Server::new(listed, limit, now);
-        *self = Server { in_flight, uploading, last_answer, returned, try_by, ..new };
+        *self = Server { in_flight, uploading, last_answer, returned, try_by, pace_noted, ..new };
     }
 
     /// Own requests that it has to work on.
@@ -251,7 +255,7 @@
     pub(crate) lost: f64,
     pub(crate) slow: f64,
     /// The servers of the last of them that spoke against the zone.
-    pub(crate) against: Vec<usize>,
+    pub(crate) against: Vec<ServerId>,
 }
 
 impl Default for Standing {
@@ -277,7 +281,7 @@
 
 impl Standing {
     /// Counts an answer; about the last `most` are remembered.
-    pub(crate) fn count(&mut self, server: usize, lost: bool, slow: f64, against: bool, most: f64) {
+    pub(crate) fn count(&mut self, server: ServerId, lost: bool, slow: f64, against: bool, most: f64) {
         self.answers = (self.answers + 1.0).min(most);
         self.lost += (f64::from(lost) - self.lost) / self.answers;
         self.slow += (slow - self.slow) / self.answers;
@@ -299,7 +303,7 @@
 
     /// Whether what speaks against it comes from several servers: one alone is a server's trouble.
     pub(crate) fn several(&self) -> bool {
-        let of = |server: usize| self.against.iter().filter(|s| **s == server).count() as f64;
+        let of = |server: ServerId| self.against.iter().filter(|s| **s == server).count() as f64;
         let all = self.against.len();
         all >= AGAINST_LEAST && self.against.iter().all(|s| of(*s) <= ONE_MOST * all as f64)
     }
@@ -317,7 +321,7 @@
     pub(crate) heard_at: Time,
     pub(crate) asked_at: Time,
     /// Attempts since that have had no answer for too long: their servers, and when they were sent.
-    pub(crate) mute: Vec<(usize, Time)>,
+    pub(crate) mute: Vec<(ServerId, Time)>,
     /// By class, and of the zone as a whole.
     pub(crate) standings: Vec<Standing>,
 }
@@ -340,7 +344,7 @@
 
     /// Keeps that a server owes an answer to what was sent then: whether that is new, and when the first was sent to a
     /// second server that owes one.
-    pub(crate) fn owes(&mut self, server: usize, sent: Time) -> (bool, Option<Time>) {
+    pub(crate) fn owes(&mut self, server: ServerId, sent: Time) -> (bool, Option<Time>) {
         let new = !self.mute.contains(&(server, sent));
         self.mute.extend(new.then_some((server, sent)));
         self.mute.sort_by_key(|m| m.1);
@@ -362,19 +366,26 @@
     pub(crate) held: Vec<RequestId>,
     pub(crate) memory: Vec<usize>,
     pub(crate) asking: Vec<Asking>,
-    /// Servers that are warm, and the work that each of them was sent on average.
-    pub(crate) warm: usize,
+    /// Serving servers that were cold at the last look at the clock by when they are warm, and when that look was.
+    pub(crate) warming: Dues,
+    pub(crate) settled: Time,
+    /// The work that each warm server was sent on average.
     pub(crate) warm_sent: Fading,
     /// The most servers that were serving at a time.
     pub(crate) most: usize,
     /// With more balancers than servers, most of a server's load is other balancers' and own counts are
     /// nearly all alike. A fleet that shrinks for a while makes no balancer blind.
     pub(crate) blind: bool,
-    /// The servers that the list says are serving and no cordon holds back.
-    pub(crate) serving: Vec<usize>,
-    /// Those of them in the own zone, and in other zones of the own region where regions are known.
-    pub(crate) near: Vec<usize>,
-    pub(crate) region: Vec<usize>,
+    /// The servers that the list says are serving: those that are open, and those that a cordon holds back.
+    pub(crate) serving: Groups<bool>,
+    /// The open ones by zone and by cell, and those in other zones of the own region where regions are known.
+    pub(crate) open_in: Groups<ZoneId>,
+    pub(crate) in_cell: Groups<CellId>,
+    pub(crate) region: Groups<bool>,
+    /// Those of the open ones that are suspect.
+    pub(crate) suspects: BTreeSet<usize>,
+    /// All that have a slot by zone.
+    pub(crate) in_zone: Groups<ZoneId>,
     pub(crate) regions: BTreeMap<ZoneId, u32>,
     /// Servers that the operators have taken out of use; beside the list, which must not lift a cordon.
     pub(crate) cordoned: BTreeSet<ServerId>,
@@ -382,10 +393,10 @@
     pub(crate) left: BTreeSet<ZoneId>,
     /// Cordons leave nothing of the list to send to.
     pub(crate) shut: bool,
-    /// Servers brought back that are still to be tried.
-    pub(crate) untried: Vec<usize>,
+    /// Open servers brought back that are still to be tried, by when.
+    pub(crate) untried: Dues,
     /// The server that each key was last sent to, where servers do known keys for less.
-    pub(crate) warm_keys: BTreeMap<KeyId, usize>,
+    pub(crate) warm_keys: BTreeMap<KeyId, ServerId>,
     /// Answer time of a class as a share of its aim, over all servers, leaning to the quick ones, so that a
     /// crowd does not pass for the usual state.
     pub(crate) class_pace: Vec<f64>,
@@ -400,6 +411,10 @@
     /// Classes that are refused last.
     pub(crate) spared: Vec<bool>,
     pub(crate) median: f64,
+    /// The paces of the servers that the list says are serving and that have answered.
+    pub(crate) paces: Median,
+    /// Those of them that are to be asked anew.
+    pub(crate) paces_noted: Vec<usize>,
     /// The share of lost attempts among those of servers that are not suspect, of late.
     pub(crate) ill: f64,
     /// Scales all limits: a balancer sees few answers of each server but many of the fleet, so a jam of most
@@ -433,16 +448,20 @@
             flights: BTreeMap::new(),
             held: Vec::new(),
             memory: Vec::new(),
-            serving: Vec::new(),
-            near: Vec::new(),
-            region: Vec::new(),
+            serving: Groups::default(),
+            open_in: Groups::default(),
+            in_cell: Groups::default(),
+            region: Groups::default(),
+            suspects: BTreeSet::new(),
+            in_zone: Groups::default(),
             regions: BTreeMap::new(),
             cordoned: BTreeSet::new(),
             left: BTreeSet::new(),
             shut: false,
-            untried: Vec::new(),
+            untried: Dues::default(),
             asking: Vec::new(),
-            warm: 0,
+            warming: Dues::default(),
+            settled: Time(0),
             warm_sent: Fading::default(),
             most: 0,
             blind: false,
@@ -455,6 +474,8 @@
             counted_at: Time(0),
             spared: vec![false; classes],
             median: 0.2,
+            paces: Median::default(),
+            paces_noted: Vec::new(),
             ill: 0.0,
             level: 1.0,
             crowd: 0.0,
@@ -549,12 +570,78 @@
                 let pause = within.trial_pause;
                 s.suspicion = Some(Suspicion { next_trial: now + pause, pause, on_trial: false });
             }
+            self.refile(i);
         }
     }
 
     /// Does something with each server of a zone.
-    pub(crate) fn of_zone(&mut self, zone: ZoneId, each: impl FnMut(&mut Server)) {
-        self.servers.iter_mut().filter(|s| s.listed.zone == zone).for_each(each);
+    pub(crate) fn of_zone(&mut self, zone: ZoneId, mut each: impl FnMut(&mut Server)) {
+        for i in self.in_zone.of(zone).to_vec() {
+            each(&mut self.servers[i]);
+            self.refile(i);
+        }
+    }
+
+    /// Files a server anew in all that is kept over the servers. To be called after any change of the server, or of
+    /// what the operators say of it, that one of these asks about; if there was none, it changes nothing.
+    pub(crate) fn refile(&mut self, i: usize) {
+        let open = self.opens(&self.servers[i]);
+        let s = &mut self.servers[i];
+        s.open = open;
+        let (zone, cell, listed) = (s.listed.zone, s.listed.cell, s.listed.status == Status::Serving);
+        let colds = self.settings.cold_share < 1.0 && self.settings.warm_after > Span::ZERO;
+        let warm_at = s.listed.started.max(s.returned).map(|at| at + self.settings.warm_after);
+        self.serving.set(i, listed.then_some(open));
+        self.open_in.set(i, open.then_some(zone));
+        self.in_cell.set(i, open.then_some(cell));
+        self.in_zone.set(i, Some(zone));
+        self.warming.set(i, warm_at.filter(|at| open && colds && *at > self.settled));
+        self.untried.set(i, s.try_by.filter(|_| open));
+        match open && s.suspicion.is_some() {
+            true => self.suspects.insert(i),
+            false => self.suspects.remove(&i),
+        };
+        let region = open && self.in_region(zone);
+        self.region.set(i, region.then_some(true));
+        self.note_pace(i);
+    }
+
+    /// Keeps that an answer has told of a server.
+    pub(crate) fn note_learned(&mut self, flight: &Flight) {
+        self.note_pace(flight.server);
+        if flight.trial {
+            self.refile(flight.server);
+        }
+    }
+
+    /// Keeps that a server's pace may be another, until the median is asked for.
+    fn note_pace(&mut self, i: usize) {
+        let noted = std::mem::replace(&mut self.servers[i].pace_noted, true);
+        self.paces_noted.extend((!noted).then_some(i));
+    }
+
+    /// Takes in by the clock which servers are warm by now.
+    pub(crate) fn settle(&mut self, now: Time) {
+        self.settled = now;
+        for i in self.warming.due(now).collect::<Vec<_>>() {
+            self.warming.set(i, None);
+        }
+    }
+
+    /// Open servers that were warm at the last look at the clock.
+    pub(crate) fn warm(&self) -> usize {
+        self.serving.of(true).len() - self.warming.len()
+    }
+
+    /// Keeps the regions of zones.
+    pub(crate) fn set_regions(&mut self, regions: BTreeMap<ZoneId, u32>) {
+        let zones: Vec<_> = self.open_in.groups().map(|zone| (zone, self.in_region(zone))).collect();
+        self.regions = regions;
+        for (zone, was) in zones {
+            if self.in_region(zone) != was {
+                self.of_zone(zone, |_| {});
+            }
+        }
     }
 
     /// The share of its draws that a server stands for, for a class.
@@ -564,8 +651,8 @@
     }
 
     /// Whether it may be sent what no other has room for: a gray zone is better than none, a silent one is not.
-    pub(crate) fn spills(&self, server: usize) -> bool {
-        let zone = self.zones.get(&self.servers[server].listed.zone).filter(|_| self.zones_ill);
+    pub(crate) fn spills(&self, zone: ZoneId) -> bool {
+        let zone = self.zones.get(&zone).filter(|_| self.zones_ill);
         zone.is_none_or(|z| z.standings[self.settings.classes.len()].share >= 1.0)
     }
 
@@ -574,10 +661,25 @@
         self.regions.get(&zone) != self.regions.get(&self.settings.zone)
     }
 
+    /// Whether a zone is another one of the own region, where regions are known.
+    pub(crate) fn in_region(&self, zone: ZoneId) -> bool {
+        zone != self.settings.zone && !self.regions.is_empty() && !self.beyond(zone)
+    }
+
+    /// What a round of draws is from: the own zone, the rest of the own region, and all that the rules leave.
+    pub(crate) fn pool(&self, round: usize, reach: Reach) -> &[usize] {
+        match (round, reach) {
+            (0, _) => self.open_in.of(self.settings.zone),
+            (1, _) => self.region.of(true),
+            (_, Reach::Zone(zone)) => self.open_in.of(zone),
+            (_, Reach::Cell(cell)) => self.in_cell.of(cell),
+            _ => self.serving.of(true),
+        }
+    }
+
     /// Any server of a zone that serves and is fit.
     pub(crate) fn one_of(&mut self, zone: ZoneId, fit: impl Fn(&Self, usize) -> bool) -> Option<usize> {
-        let there = |i: &usize| self.servers[*i].listed.zone == zone && fit(self, *i);
-        let there: Vec<usize> = self.serving.iter().copied().filter(there).collect();
+        let there: Vec<usize> = self.open_in.of(zone).iter().copied().filter(|i| fit(self, *i)).collect();
         there.get(self.rng.usize(0..there.len().max(1))).copied()
     }
 
@@ -622,15 +724,16 @@
 
     /// Takes in lines of the list; one that names a new process begins with `limit`.
     pub(crate) fn take_lines(&mut self, now: Time, lines: Vec<Listed>, complete: bool, limit: f64) {
+        let mut touched: Vec<usize> = Vec::with_capacity(lines.len());
         if complete {
-            for s in &mut self.servers {
-                s.listed.status = Status::Gone;
-            }
+            touched.extend(self.index.values());
+            touched.iter().for_each(|&i| self.servers[i].listed.status = Status::Gone);
         }
         for line in lines {
             let server = line.server;
             match self.index.get(&server) {
                 Some(&i) => {
+                    touched.push(i);
                     let s = &mut self.servers[i];
                     if line.started.is_some() && line.started != s.listed.started {
                         s.renew(line, limit, now);
@@ -639,15 +742,15 @@
                     }
                 }
                 None => {
+                    touched.push(self.servers.len());
                     self.index.insert(server, self.servers.len());
                     self.servers.push(Server::new(line, limit, now));
                 }
             }
         }
-        let servers = &self.servers;
-        let stands =
-            |zone: ZoneId| servers.iter().any(|s| s.listed.zone == zone && s.listed.status != Status::Gone);
-        self.zones.retain(|zone, _| stands(*zone));
+        touched.into_iter().for_each(|i| self.refile(i));
+        let listed = |i: &usize| self.servers[*i].listed.status != Status::Gone;
+        self.zones.retain(|zone, _| self.in_zone.of(*zone).iter().any(listed));
         self.look_for_ill_zones();
     }
 
@@ -662,12 +765,15 @@
         cold + (1.0 - cold) * age / warm
     }
 
-    /// The median pace of those that serve.
+    /// The median pace of those that serve, at the cost of those whose pace has changed since the last time.
     pub(crate) fn set_median(&mut self) {
-        let judged = |s: &&Server| s.listed.status == Status::Serving && s.samples > 0;
-        let mut paces: Vec<f64> = self.servers.iter().filter(judged).map(|s| s.pace).collect();
-        paces.sort_by(f64::total_cmp);
-        if let Some(&median) = paces.get(paces.len() / 2) {
+        for i in std::mem::take(&mut self.paces_noted) {
+            let s = &mut self.servers[i];
+            s.pace_noted = false;
+            let judged = s.listed.status == Status::Serving && s.samples > 0;
+            self.paces.set(i, judged.then_some(s.pace));
+        }
+        if let Some(median) = self.paces.get() {
             self.median = median.max(0.01);
         }
     }
@@ -675,21 +781,21 @@
     /// Keeps what a send changes: its attempt, the counts of its server and the work that cold ones have met; `kept` if
     /// an idle connection surely stood for it.
     pub(crate) fn note_send(&mut self, now: Time, pick: &Pick, server: usize, kept: bool) {
-        let cold = self.warmth(&self.servers[server], now) < 1.0;
+        let (cold, warm) = (self.warmth(&self.servers[server], now) < 1.0, self.warm());
         let Some(live) = self.live.get_mut(&pick.id) else { return };
         let s = &mut self.servers[server];
         let (attempt, uploading) = (live.attempts.len() as u32, live.request.uploading);
-        let (zone, cell) = (s.listed.zone, s.listed.cell);
-        live.attempts.push(Attempt { server, zone, cell, sent: now, fate: Fate::Out });
+        let Listed { server: id, zone, cell, .. } = s.listed;
+        live.attempts.push(Attempt { server: id, zone, cell, sent: now, fate: Fate::Out });
         s.in_flight += 1;
         s.uploading += u32::from(uploading);
         s.sent_since += 1;
         s.idle = if kept { s.idle - 1 } else { 0 };
-        let share = pick.work / self.warm.max(1) as f64;
+        let share = pick.work / warm.max(1) as f64;
         let (sent, work) = if cold { (&mut s.cold_sent, pick.work) } else { (&mut self.warm_sent, share) };
         sent.add(now, 0.5 * self.settings.fall_after.ms(), work);
         s.try_by = None;
-        self.untried.retain(|&i| i != server);
+        self.untried.set(server, None);
         let trial = s.suspicion.is_some();
         s.suspicion.iter_mut().for_each(|q| q.on_trial = true);
         let (class, again) = (pick.class, attempt > 0);
@@ -704,7 +810,7 @@
             if self.warm_keys.len() >= KEYS_MOST {
                 self.warm_keys.clear();
             }
-            self.warm_keys.insert(key, server);
+            self.warm_keys.insert(key, self.servers[server].listed.server);
         }
         self.memory.retain(|&m| m != server);
         self.memory.insert(0, server);
@@ -715,6 +821,7 @@
     pub(crate) fn pick_for(&self, now: Time, live: &Live) -> Pick {
         let class = live.request.class.0;
         let key = live.request.key.filter(|_| self.settings.warm_keys);
+        let slot = |server: &ServerId| self.index.get(server);
         Pick {
             id: live.request.id,
             class,
@@ -723,8 +830,8 @@
             heavy: (self.work(live) / self.usual(class)).clamp(1.0, 9.0).sqrt(),
             safe: self.settings.classes[class].effect == Effect::Idempotent,
             key,
-            warm: key.and_then(|k| self.warm_keys.get(&k)).copied(),
-            tried: live.attempts.iter().map(|a| a.server).collect(),
+            warm: key.and_then(|k| self.warm_keys.get(&k)).and_then(slot).copied(),
+            tried: live.attempts.iter().filter_map(|a| slot(&a.server)).copied().collect(),
         }
     }
 
@@ -818,14 +925,14 @@
 
     /// The state behind the decisions in one line, for a log.
     pub fn summary(&self) -> String {
-        let serving = || self.serving.iter().map(|&i| &self.servers[i]);
+        let serving = || self.serving.of(true).iter().map(|&i| &self.servers[i]);
         let limits = serving().map(|s| s.limit);
-        let suspects = serving().filter(|s| s.suspicion.is_some()).count();
+        let suspects = self.suspects.len();
         let (least, sum) = limits.fold((f64::INFINITY, 0.0), |(least, sum), l| (least.min(l), sum + l));
         format!(
             "serving {} suspect {suspects} in flight {} held {} level {:.2} limits {sum:.1} least {least:.2} \
              median {:.2} pace {:.2?} now {:.2?} retries {:.1}",
-            self.serving.len(),
+            serving().count(),
             self.flights.len(),
             self.held.len(),
             self.level,
--- /dev/null
+++ b/src/tests.rs
@@ -0,0 +1,237 @@
+//! What is kept by increments is what a walk over all servers would find, whatever happens in whatever order.
+
+use crate::api::*;
+use crate::records::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+const ZONES: u32 = 5;
+const CELLS: u32 = 12;
+
+fn settings(pick: u64) -> Settings {
+    let effects = [
+        Effect::Idempotent,
+        Effect::AtMostOnce,
+        Effect::Deduplicated { group: Group::Cell, window: Span::from_ms(600.0) },
+        Effect::Deduplicated { group: Group::Zone, window: Span::from_ms(600.0) },
+    ];
+    let class = |effect| Class { effect, aim: Span::from_ms(100.0), ..Class::default() };
+    Settings {
+        balancers: [1, 3, 9, 500][pick as usize % 4],
+        zone: ZoneId(1),
+        classes: effects.into_iter().map(class).collect(),
+        prices: Prices { cross_zone: [0.0, 0.05][pick as usize % 2], ..Prices::default() },
+        warm_keys: pick % 2 == 0,
+        probes: pick % 3 == 0,
+        cold_share: [0.2, 1.0][usize::from(pick % 7 == 6)],
+        warm_after: Span::from_ms([3000.0, 0.0][usize::from(pick % 11 == 10)]),
+        ..Settings::default()
+    }
+}
+
+fn sorted(mut slots: Vec<usize>) -> Vec<usize> {
+    slots.sort_unstable();
+    slots
+}
+
+/// Compares all that is kept over the servers with what a walk over them finds.
+fn check(b: &mut Balancer, median: bool) {
+    let used: BTreeSet<usize> = b.index.values().copied().collect();
+    assert_eq!(used.len(), b.index.len(), "two names share a slot");
+    assert!(b.index.iter().all(|(id, &i)| b.servers[i].listed.server == *id), "a slot is another server's");
+    assert_eq!(used.len(), b.servers.len(), "slots are lost");
+
+    let status = |i: usize| b.servers[i].listed.status;
+    let those = |so: &dyn Fn(usize) -> bool| used.iter().copied().filter(|&i| so(i)).collect::<Vec<_>>();
+    let open = |i: usize| b.opens(&b.servers[i]);
+    assert!((0..b.servers.len()).all(|i| b.servers[i].open == (used.contains(&i) && open(i))), "open");
+    assert_eq!(sorted(b.serving.of(true).to_vec()), those(&open), "serving");
+    let held_back = |i: usize| status(i) == Status::Serving && !open(i);
+    assert_eq!(sorted(b.serving.of(false).to_vec()), those(&held_back), "held back");
+    for zone in (0..ZONES).map(ZoneId) {
+        let there = |i: usize| b.servers[i].listed.zone == zone;
+        assert_eq!(sorted(b.open_in.of(zone).to_vec()), those(&|i| open(i) && there(i)), "{zone:?}");
+        assert_eq!(sorted(b.in_zone.of(zone).to_vec()), those(&there), "all of {zone:?}");
+    }
+    for cell in (0..CELLS).map(CellId) {
+        let there = |i: usize| open(i) && b.servers[i].listed.cell == cell;
+        assert_eq!(sorted(b.in_cell.of(cell).to_vec()), those(&there), "{cell:?}");
+    }
+    let region = |i: usize| open(i) && b.in_region(b.servers[i].listed.zone);
+    assert_eq!(sorted(b.region.of(true).to_vec()), those(&region), "region");
+    let suspect = |i: usize| open(i) && b.servers[i].suspicion.is_some();
+    assert_eq!(b.suspects.iter().copied().collect::<Vec<_>>(), those(&suspect), "suspects");
+    let warm = |i: usize| open(i) && b.warmth(&b.servers[i], b.settled) >= 1.0;
+    assert_eq!(b.warm(), those(&warm).len(), "warm");
+    let untried = |i: usize| open(i) && b.servers[i].try_by.is_some();
+    assert_eq!(sorted(b.untried.due(Time(u64::MAX)).collect()), those(&untried), "untried");
+
+    assert_eq!(b.shut, b.serving.of(true).is_empty() && !those(&held_back).is_empty(), "shut");
+    assert!(b.most >= b.serving.of(true).len(), "most");
+    assert!(b.memory.iter().all(|&m| open(m)), "a closed server is remembered");
+    let mut out: BTreeMap<usize, u32> = BTreeMap::new();
+    b.flights.values().for_each(|f| *out.entry(f.server).or_default() += 1);
+    for (i, s) in b.servers.iter().enumerate() {
+        assert_eq!(s.in_flight, out.get(&i).copied().unwrap_or(0), "in flight at slot {i}");
+    }
+    assert!(out.keys().all(|i| used.contains(i)), "a slot was freed under an attempt");
+
+    if median {
+        let judged = |s: &&Server| s.listed.status == Status::Serving && s.samples > 0;
+        let mut paces: Vec<f64> = b.servers.iter().filter(judged).map(|s| s.pace).collect();
+        paces.sort_by(f64::total_cmp);
+        let expected = paces.get(paces.len() / 2).map_or(b.median, |m| m.max(0.01));
+        b.set_median();
+        assert_eq!(b.median, expected, "median of {paces:?}");
+    }
+}
+
+struct Seen {
+    suspect: bool,
+    untried: bool,
+    warming: bool,
+    region: bool,
+}
+
+fn walk(pick: u64, steps: u32) -> Seen {
+    let mut rng = fastrand::Rng::with_seed(pick);
+    let mut b = Balancer::new(settings(pick), pick).expect("usable settings");
+    let mut now = Time::from_ms(10_000.0);
+    let mut out = Vec::new();
+    b.start(now, &mut out);
+    let mut lines: BTreeMap<u32, Listed> = BTreeMap::new();
+    let mut flights: Vec<(RequestId, u32, Time)> = Vec::new();
+    let mut sent: BTreeMap<RequestId, u32> = BTreeMap::new();
+    let mut next = 0;
+    let mut seen = Seen { suspect: false, untried: false, warming: false, region: false };
+    for step in 0..steps {
+        now = now + Span(rng.u64(0..40_000)) + Span::from_ms(if rng.u32(0..200) == 0 { 4000.0 } else { 0.0 });
+        let known = next.max(60) - 60..next.max(60);
+        let any = |rng: &mut fastrand::Rng| ServerId(rng.u32(known.clone()));
+        let event = match rng.u32(0..100) {
+            // New ones, that get the slots of those that have gone; a few that change place.
+            0..=7 => {
+                let mut news = Vec::new();
+                for _ in 0..rng.u32(1..9) {
+                    let server = if rng.u32(0..8) == 0 { any(&mut rng).0 } else { next };
+                    next = next.max(server + 1);
+                    let started = rng.bool().then_some(now);
+                    let (zone, cell) = (ZoneId(rng.u32(0..ZONES)), CellId(rng.u32(0..CELLS)));
+                    let line = Listed { zone, cell, started, ..Listed::serving(ServerId(server)) };
+                    lines.insert(server, line.clone());
+                    news.push(line);
+                }
+                Event::List(ListUpdate::Changes(news))
+            }
+            8..=17 if !lines.is_empty() => {
+                let mut news = Vec::new();
+                for _ in 0..rng.usize(1..6) {
+                    let at = rng.usize(0..lines.len());
+                    let Some(line) = lines.values_mut().nth(at) else { continue };
+                    line.status = [Status::Serving, Status::Draining, Status::Gone][rng.usize(0..3)];
+                    line.started = if rng.u32(0..4) == 0 { Some(now) } else { line.started };
+                    news.push(line.clone());
+                }
+                lines.retain(|_, line| line.status != Status::Gone);
+                Event::List(ListUpdate::Changes(news))
+            }
+            18..=19 => {
+                lines.retain(|_, _| rng.u32(0..9) > 0);
+                Event::List(ListUpdate::Complete(lines.values().cloned().collect()))
+            }
+            20 => Event::List([ListUpdate::Failed, ListUpdate::Senseless][rng.usize(0..2)].clone()),
+            21..=23 => Event::Cordon { server: any(&mut rng) },
+            24..=27 => Event::Uncordon {
+                server: b.cordoned.first().copied().unwrap_or_else(|| any(&mut rng)),
+                at: now,
+            },
+            28 => Event::LeaveZone { zone: ZoneId(rng.u32(0..ZONES)) },
+            29..=30 => Event::ReturnZone { zone: ZoneId(rng.u32(0..ZONES)), at: now },
+            31 => Event::Regions((0..rng.u32(0..ZONES)).map(|z| (ZoneId(z), rng.u32(0..2))).collect()),
+            32 => {
+                let mut lessons = b.lessons(now);
+                lessons.servers.iter_mut().for_each(|l| (l.samples, l.suspect) = (3, rng.u32(0..9) == 0));
+                Event::Learned(lessons)
+            }
+            33..=34 => Event::Broke { server: any(&mut rng) },
+            35 => Event::Probed {
+                server: any(&mut rng),
+                outcome: [Outcome::Success, Outcome::TimedOut][rng.usize(0..2)],
+                elapsed: Span::from_ms(3.0),
+                report: None,
+            },
+            36..=63 => {
+                let mut request =
+                    Request::new(RequestId(u64::from(step)), ClassId(rng.usize(0..4)), Span::from_ms(400.0));
+                request.key = rng.bool().then(|| KeyId(rng.u64(0..9)));
+                Event::Request(request)
+            }
+            64..=92 if !flights.is_empty() => {
+                let (request, attempt, at) = flights.swap_remove(rng.usize(0..flights.len()));
+                let bad =
+                    [Outcome::ServerError, Outcome::TimedOut, Outcome::Rejected, Outcome::ConnectFailed];
+                let outcome = if rng.u32(0..3) == 0 { bad[rng.usize(0..4)] } else { Outcome::Success };
+                let (elapsed, closed) = (now.since(at), outcome == Outcome::Success);
+                let attempt = AttemptNo(attempt);
+                Event::Outcome { request, attempt, outcome, elapsed, report: None, closed }
+            }
+            _ => Event::Timer(TimerId(0)),
+        };
+        out.clear();
+        b.handle(now, event, &mut out);
+        for action in &out {
+            if let Action::Send { request, .. } = action {
+                let number = sent.entry(*request).or_insert(0);
+                flights.push((*request, *number, now));
+                *number += 1;
+            }
+        }
+        seen.suspect |= !b.suspects.is_empty();
+        seen.untried |= b.untried.len() > 0;
+        seen.warming |= b.warming.len() > 0;
+        seen.region |= !b.region.of(true).is_empty();
+        check(&mut b, rng.u32(0..6) == 0);
+    }
+    seen
+}
+
+#[test]
+fn increments_equal_a_walk_over_all_servers() {
+    let walks: Vec<Seen> = (0..16).map(|pick| walk(pick, 800)).collect();
+    let most = |so: fn(&Seen) -> bool| walks.iter().filter(|seen| so(seen)).count();
+    let counts = [
+        ("suspect", most(|s| s.suspect)),
+        ("untried", most(|s| s.untried)),
+        ("warming", most(|s| s.warming)),
+        ("region", most(|s| s.region)),
+    ];
+    for (what, count) in counts {
+        assert!(
+            count > walks.len() / 3,
+            "only {count} of {} walks have met {what}: they show little",
+            walks.len()
+        );
+    }
+}
+
+/// A whole list that says what is known changes nothing, not even the order in which servers are drawn.
+#[test]
+fn a_list_that_changes_nothing_changes_nothing() {
+    let mut b = Balancer::new(settings(1), 1).expect("usable settings");
+    let now = Time::from_ms(1000.0);
+    let line = |i: u32| Listed { zone: ZoneId(i % ZONES), ..Listed::serving(ServerId(i)) };
+    let lines: Vec<Listed> = (0..200).map(line).collect();
+    let mut out = Vec::new();
+    b.handle(now, Event::List(ListUpdate::Complete(lines.clone())), &mut out);
+    b.handle(
+        now,
+        Event::List(ListUpdate::Changes(vec![Listed { status: Status::Gone, ..line(7) }])),
+        &mut out,
+    );
+    b.handle(now, Event::List(ListUpdate::Changes(vec![line(7)])), &mut out);
+    let order = |b: &Balancer| (b.serving.of(true).to_vec(), b.open_in.of(ZoneId(1)).to_vec());
+    let before = order(&b);
+    let shuffled: Vec<Listed> = lines.iter().rev().cloned().collect();
+    b.handle(now, Event::List(ListUpdate::Complete(shuffled)), &mut out);
+    b.handle(now, Event::List(ListUpdate::Changes(lines)), &mut out);
+    assert_eq!(order(&b), before);
+}
--- a/src/zones.rs
+++ b/src/zones.rs
@@ -32,7 +32,7 @@
     /// Learns of a zone, and of the class in it, by one outcome there.
     pub(crate) fn zone_learns(&mut self, now: Time, flight: &Flight, ended: &Ended, out: &mut Vec<Action>) {
         let (s, (outcome, elapsed, _)) = (&self.servers[flight.server], ended);
-        let (zone, cold) = (s.listed.zone, self.warmth(s, now) < 1.0);
+        let (zone, server, cold) = (s.listed.zone, s.listed.server, self.warmth(s, now) < 1.0);
         let usual = self.usual(flight.class) * s.stretch;
         let (well, whole) = (*outcome == Outcome::Success, self.settings.classes.len());
         let lost = outcome.failure() || *outcome == Outcome::TimedOut;
@@ -49,7 +49,7 @@
         // A cold server is slow by nature, and what was lost took no time that tells anything.
         let slow = if well && !cold { (elapsed.ms() / usual).min(2.0 * SLOWER) } else { 1.0 };
         let in_time = *elapsed <= self.settings.classes[flight.class].aim;
-        self.zone(zone).standings[flight.class].count(flight.server, lost, slow, slow > SLOWER, 4.0 * ENOUGH);
+        self.zone(zone).standings[flight.class].count(server, lost, slow, slow > SLOWER, 4.0 * ENOUGH);
         for part in [flight.class, whole] {
             let seen = (well && in_time && slow <= SLOWER, lost || slow > SLOWER, flight.sent);
             self.judge_zone(now, (zone, part), seen, out);
@@ -58,7 +58,8 @@
 
     /// Takes in that an attempt has no answer for too long; true if its zone has said nothing since either.
     pub(crate) fn zone_mute(&mut self, now: Time, server: usize, sent: Time, out: &mut Vec<Action>) -> bool {
-        let (zone, whole) = (self.servers[server].listed.zone, self.settings.classes.len());
+        let Listed { server, zone, .. } = self.servers[server].listed;
+        let whole = self.settings.classes.len();
         let of = self.zone(zone);
         if sent < of.heard_at {
             return false;
@@ -126,7 +127,7 @@
 
     fn set_zone(&mut self, now: Time, at: Part, share: f64, why: &'static str, out: &mut Vec<Action>) {
         // The trials of all balancers together stay within what the zone's servers bear while they are cold.
-        let there = self.serving.iter().filter(|&&i| self.servers[i].listed.zone == at.0).count().max(1);
+        let there = self.open_in.of(at.0).len().max(1);
         let bears =
             (self.settings.cold_share * self.settings.overload_factor).max(0.01) * AT_ONCE * there as f64;
         let usual = (0..self.settings.classes.len()).map(|class| self.usual(class)).fold(0.0, f64::max);
