Free the slots of servers that left: memory goes by what is listed now

Change: a server that the list says is gone keeps its slot for as long as a new process takes to get warm (`warm_after`), as it may be back and its attempts have to end. Then the slot is freed, 100 at a look at the clock at most, and used for the next new name. It waits while an attempt is in flight, a pick has asked it for its load, or the operators hold it back or brought it back within that time. A line that says of an unknown server that it has gone makes no record.

The test of src/tests.rs holds that no two names share a slot, none is lost and none is freed under an attempt; it fails if the look at attempts in flight is left out.

--- a/src/index.rs
+++ b/src/index.rs
@@ -83,6 +83,11 @@
         self.order.range(..=(now, usize::MAX)).map(|(_, slot)| *slot)
     }
 
+    /// When it is due at this slot.
+    pub(crate) fn at(&self, slot: usize) -> Option<Time> {
+        self.at.get(&slot).copied()
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.order.len()
     }
--- a/src/records.rs
+++ b/src/records.rs
@@ -8,6 +8,8 @@
 const KEYS_MOST: usize = 10_000;
 /// Traffic is counted over about this many milliseconds.
 const COUNT_MS: f64 = 3000.0;
+/// Slots of servers that have left that are freed at a time at most.
+const FREED_MOST: usize = 100;
 
 /// How an attempt ended, after how long, and the report that came with it.
 pub(crate) type Ended = (Outcome, Span, Option<Vec<f64>>);
@@ -358,8 +360,13 @@
 pub struct Balancer {
     pub(crate) settings: Settings,
     pub(crate) rng: fastrand::Rng,
+    /// By slots; one that is free holds the server that left it, as gone.
     pub(crate) servers: Vec<Server>,
+    /// The slot of each server that is listed, or that has left a short while ago and may be back.
     pub(crate) index: BTreeMap<ServerId, usize>,
+    pub(crate) free: Vec<usize>,
+    /// When the slots of those that have left are to be freed.
+    pub(crate) gone: Dues,
     pub(crate) live: BTreeMap<RequestId, Live>,
     pub(crate) flights: BTreeMap<(RequestId, u32), Flight>,
     /// Newest first within each rank.
@@ -444,6 +451,8 @@
             rng: fastrand::Rng::with_seed(seed),
             servers: Vec::new(),
             index: BTreeMap::new(),
+            free: Vec::new(),
+            gone: Dues::default(),
             live: BTreeMap::new(),
             flights: BTreeMap::new(),
             held: Vec::new(),
@@ -620,9 +629,10 @@
         self.paces_noted.extend((!noted).then_some(i));
     }
 
-    /// Takes in by the clock which servers are warm by now.
+    /// Takes in by the clock which servers are warm by now, and which have been gone for long enough.
     pub(crate) fn settle(&mut self, now: Time) {
         self.settled = now;
+        self.free_gone(now);
         for i in self.warming.due(now).collect::<Vec<_>>() {
             self.warming.set(i, None);
         }
@@ -644,6 +654,27 @@
         }
     }
 
+    /// Frees the slots of servers that left a while ago, so that what is kept goes by what is listed now and not by
+    /// all that ever was. One that is away for as long as a new process takes to get warm comes back as a new one.
+    /// Requests, keys and zones name it by its id; a slot that an attempt or a pick still names is freed later, and
+    /// that of one which the operators hold back, or have just brought back, as well.
+    fn free_gone(&mut self, now: Time) {
+        let while_away = self.settings.warm_after;
+        for i in self.gone.due(now).take(FREED_MOST).collect::<Vec<_>>() {
+            let (s, server) = (&self.servers[i], self.servers[i].listed.server);
+            let asked = self.asking.iter().any(|a| a.candidates.contains(&i));
+            let lately = s.returned.is_some_and(|at| now < at + while_away);
+            if s.in_flight > 0 || asked || lately || self.cordoned.contains(&server) {
+                self.gone.set(i, Some(now + while_away));
+                continue;
+            }
+            self.index.remove(&server);
+            self.in_zone.set(i, None);
+            self.gone.set(i, None);
+            self.free.push(i);
+        }
+    }
+
     /// The share of its draws that a server stands for, for a class.
     pub(crate) fn zone_share(&self, server: usize, class: usize) -> f64 {
         let zone = self.zones.get(&self.servers[server].listed.zone).filter(|_| self.zones_ill);
@@ -730,7 +761,7 @@
             touched.iter().for_each(|&i| self.servers[i].listed.status = Status::Gone);
         }
         for line in lines {
-            let server = line.server;
+            let (server, status) = (line.server, line.status);
             match self.index.get(&server) {
                 Some(&i) => {
                     touched.push(i);
@@ -741,14 +772,25 @@
                         s.listed = line;
                     }
                 }
+                None if status == Status::Gone => {}
                 None => {
-                    touched.push(self.servers.len());
-                    self.index.insert(server, self.servers.len());
-                    self.servers.push(Server::new(line, limit, now));
+                    let (new, i) = (Server::new(line, limit, now), self.free.pop());
+                    let i = i.unwrap_or(self.servers.len());
+                    match self.servers.get_mut(i) {
+                        Some(slot) => *slot = Server { pace_noted: slot.pace_noted, ..new },
+                        None => self.servers.push(new),
+                    }
+                    self.index.insert(server, i);
+                    touched.push(i);
                 }
             }
         }
-        touched.into_iter().for_each(|i| self.refile(i));
+        let forget_at = now + self.settings.warm_after;
+        for i in touched {
+            self.refile(i);
+            let gone = self.servers[i].listed.status == Status::Gone;
+            self.gone.set(i, gone.then(|| self.gone.at(i).unwrap_or(forget_at)));
+        }
         let listed = |i: &usize| self.servers[*i].listed.status != Status::Gone;
         self.zones.retain(|zone, _| self.in_zone.of(*zone).iter().any(listed));
         self.look_for_ill_zones();
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -38,7 +38,9 @@
     let used: BTreeSet<usize> = b.index.values().copied().collect();
     assert_eq!(used.len(), b.index.len(), "two names share a slot");
     assert!(b.index.iter().all(|(id, &i)| b.servers[i].listed.server == *id), "a slot is another server's");
-    assert_eq!(used.len(), b.servers.len(), "slots are lost");
+    let free: BTreeSet<usize> = b.free.iter().copied().collect();
+    assert_eq!(free.len(), b.free.len(), "a slot is free twice");
+    assert!(free.is_disjoint(&used) && free.len() + used.len() == b.servers.len(), "slots are lost");
 
     let status = |i: usize| b.servers[i].listed.status;
     let those = |so: &dyn Fn(usize) -> bool| used.iter().copied().filter(|&i| so(i)).collect::<Vec<_>>();
@@ -64,6 +66,8 @@
     assert_eq!(b.warm(), those(&warm).len(), "warm");
     let untried = |i: usize| open(i) && b.servers[i].try_by.is_some();
     assert_eq!(sorted(b.untried.due(Time(u64::MAX)).collect()), those(&untried), "untried");
+    let gone = |i: usize| status(i) == Status::Gone;
+    assert_eq!(sorted(b.gone.due(Time(u64::MAX)).collect()), those(&gone), "gone");
 
     assert_eq!(b.shut, b.serving.of(true).is_empty() && !those(&held_back).is_empty(), "shut");
     assert!(b.most >= b.serving.of(true).len(), "most");
@@ -86,6 +90,7 @@
 }
 
 struct Seen {
+    reused: bool,
     suspect: bool,
     untried: bool,
     warming: bool,
@@ -102,9 +107,10 @@
     let mut flights: Vec<(RequestId, u32, Time)> = Vec::new();
     let mut sent: BTreeMap<RequestId, u32> = BTreeMap::new();
     let mut next = 0;
-    let mut seen = Seen { suspect: false, untried: false, warming: false, region: false };
+    let mut seen = Seen { reused: false, suspect: false, untried: false, warming: false, region: false };
     for step in 0..steps {
         now = now + Span(rng.u64(0..40_000)) + Span::from_ms(if rng.u32(0..200) == 0 { 4000.0 } else { 0.0 });
+        let free = b.free.len();
         let known = next.max(60) - 60..next.max(60);
         let any = |rng: &mut fastrand::Rng| ServerId(rng.u32(known.clone()));
         let event = match rng.u32(0..100) {
@@ -185,6 +191,7 @@
                 *number += 1;
             }
         }
+        seen.reused |= b.free.len() < free;
         seen.suspect |= !b.suspects.is_empty();
         seen.untried |= b.untried.len() > 0;
         seen.warming |= b.warming.len() > 0;
@@ -199,6 +206,7 @@
     let walks: Vec<Seen> = (0..16).map(|pick| walk(pick, 800)).collect();
     let most = |so: fn(&Seen) -> bool| walks.iter().filter(|seen| so(seen)).count();
     let counts = [
+        ("reused", most(|s| s.reused)),
         ("suspect", most(|s| s.suspect)),
         ("untried", most(|s| s.untried)),
         ("warming", most(|s| s.warming)),
