Leave word for the next process of the 1,024 servers that are known best

Need: a process that hands over wrote each second of every server, 5.2 MB at 29,000 where the next one reads 256 KiB at most, so of a large fleet nothing was taken over. Change: of more than 1,024 open servers those that were met last, suspects first. Result: tests/takes_over.rs, the new test fails without (5,000 servers, all of them told).

--- a/src/records.rs
+++ b/src/records.rs
@@ -2,8 +2,12 @@
 
 use crate::api::*;
 use crate::index::*;
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Servers that a balancer leaves word of for the next one: some 180 bytes each where they are written down, and their file
+/// may have 256 KiB (`agent/src/peers/handover.rs`).
+const LESSONS_MOST: usize = 1024;
 /// Keys remembered; past that all are forgotten, which costs each of them one cold run.
 const KEYS_MOST: usize = 10_000;
 /// Traffic is counted over about this many milliseconds.
@@ -913,8 +917,14 @@
         live.request.cost_hint.map_or_else(|| self.usual(live.request.class.0), Span::ms)
     }
 
-    /// What a balancer that takes over from this one should know.
+    /// What a balancer that takes over from this one should know: of a large fleet the servers that most is known of.
     pub fn lessons(&self, now: Time) -> Lessons {
+        let mut told: Vec<&Server> = self.servers.iter().filter(|s| s.open).collect();
+        if told.len() > LESSONS_MOST {
+            let known = |s: &&Server| Reverse((s.suspicion.is_some(), s.samples > 0, s.ended));
+            told.select_nth_unstable_by_key(LESSONS_MOST, known);
+            told.truncate(LESSONS_MOST);
+        }
         let lesson = |s: &Server| Lesson {
             server: s.listed.server,
             started: s.listed.started,
@@ -931,7 +941,7 @@
             median: self.median,
             class_pace: self.class_pace.clone(),
             warm_sent: self.warm_sent.now(now),
-            servers: self.servers.iter().filter(|s| s.open).map(lesson).collect(),
+            servers: told.into_iter().map(lesson).collect(),
         }
     }
 
--- a/tests/takes_over.rs
+++ b/tests/takes_over.rs
@@ -2,6 +2,7 @@
 mod common;
 use common::*;
 use micasail::*;
+use std::collections::BTreeSet;
 
 fn rig(seed: u64) -> Rig {
     let settings = Settings { classes: vec![class(Effect::Idempotent)], ..Settings::default() };
@@ -69,3 +70,28 @@
         next.assert_rules();
     }
 }
+
+/// What is left for the next one is bounded however many servers there are, and it is of those that were met last.
+#[test]
+fn word_is_left_of_the_servers_that_were_met_last() {
+    let settings = Settings { classes: vec![class(Effect::Idempotent)], ..Settings::default() };
+    let mut rig = Rig::new(settings, 5);
+    rig.list(fleet(5000, 5, 5));
+    let mut met = Vec::new();
+    while met.len() < 2000 {
+        let (id, sent) = rig.ask(0);
+        met.extend(sent);
+        rig.wait(Span::from_ms(1.0));
+        rig.answer(id, 0, Outcome::Success, 1.0);
+    }
+    let told = rig.balancer.lessons(rig.now).servers;
+    assert_eq!(told.len(), 1024);
+    let mut last: Vec<ServerId> = Vec::new();
+    met.iter().rev().for_each(|server| {
+        if !last.contains(server) {
+            last.push(*server)
+        }
+    });
+    last.truncate(1000);
+    assert!(last.iter().all(|server| told.iter().any(|lesson| lesson.server == *server)));
+}
