Draw from the whole fleet without a search for its group

Cause: a request that finds all of 12 servers full looked up the group to draw from twice a draw, and 100 held requests are tried anew at each tick.

Change: the open servers, those held back and those of the region are plain pools; the size of a pool is read once a round.

--- a/src/index.rs
+++ b/src/index.rs
@@ -54,6 +54,38 @@
     }
 }
 
+/// Servers that have one thing in common: one such group, without the search for it.
+#[derive(Debug, Default)]
+pub(crate) struct Pool {
+    members: Vec<usize>,
+    places: Vec<u32>,
+}
+
+impl Pool {
+    /// The slot belongs to it now, or not.
+    pub(crate) fn set(&mut self, slot: usize, member: bool) {
+        if self.places.len() <= slot {
+            self.places.resize(slot + 1, NOWHERE);
+        }
+        let place = self.places[slot];
+        if member && place == NOWHERE {
+            self.places[slot] = self.members.len() as u32;
+            self.members.push(slot);
+        } else if !member && place != NOWHERE {
+            self.places[slot] = NOWHERE;
+            self.members.swap_remove(place as usize);
+            if let Some(&moved) = self.members.get(place as usize) {
+                self.places[moved] = place;
+            }
+        }
+    }
+
+    /// Its slots.
+    pub(crate) fn all(&self) -> &[usize] {
+        &self.members
+    }
+}
+
 /// Servers by when something is due at them, the soonest first.
 #[derive(Debug, Default)]
 pub(crate) struct Dues {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -494,9 +494,8 @@
         let crossing = self.settings.prices.cross_zone > 0.0 || !self.regions.is_empty();
         let near = if crossing && self.level >= NEAR_LEVEL && !self.blind { NEAR_DRAWS } else { 0 };
         for (round, draws, looks) in [(0, near, near), (1, near, near), (2, draws, 4 * draws)] {
-            let most = found.len() + draws;
+            let (most, all) = (found.len() + draws, self.pool(round, ask.reach).len());
             for _ in 0..looks {
-                let all = self.pool(round, ask.reach).len();
                 if found.len() >= most || all == 0 {
                     break;
                 }
@@ -856,7 +855,7 @@
         if self.blind {
             return self.doubt(now, server, out);
         }
-        let (all, suspects) = (self.serving.of(true).len() as f64, self.suspects.len());
+        let (all, suspects) = (self.serving.all().len() as f64, self.suspects.len());
         let s = &mut self.servers[server];
         if s.suspicion.is_some() || (suspects + 1) as f64 > SUSPECT_SHARE * all {
             return;
@@ -926,8 +925,8 @@
     fn reopen(&mut self, now: Time, out: &mut Vec<Action>) {
         self.memory.retain(|&m| self.servers[m].open);
         self.settle(now);
-        let serving = self.serving.of(true).len();
-        self.shut = serving == 0 && !self.serving.of(false).is_empty();
+        let serving = self.serving.all().len();
+        self.shut = serving == 0 && !self.held_back.all().is_empty();
         self.most = self.most.max(serving);
         self.blind = self.settings.balancers as usize > self.most;
         self.pump(now, out);
--- a/src/records.rs
+++ b/src/records.rs
@@ -391,13 +391,14 @@
     /// nearly all alike. A fleet that shrinks for a while makes no balancer blind.
     pub(crate) blind: bool,
     /// The servers that the list says are serving: those that are open, and those that a cordon holds back.
-    pub(crate) serving: Groups<bool>,
+    pub(crate) serving: Pool,
+    pub(crate) held_back: Pool,
     /// The open ones by zone and by cell, and those in other zones of the own region where regions are known.
     pub(crate) open_in: Groups<ZoneId>,
     pub(crate) in_cell: Groups<CellId>,
     /// Some class may be repeated in its cell alone, so that cells have to be known.
     pub(crate) cells: bool,
-    pub(crate) region: Groups<bool>,
+    pub(crate) region: Pool,
     /// Those of the open ones that are suspect.
     pub(crate) suspects: BTreeSet<usize>,
     /// All that have a slot by zone.
@@ -467,11 +468,12 @@
             flights: BTreeMap::new(),
             held: Vec::new(),
             memory: Vec::new(),
-            serving: Groups::default(),
+            serving: Pool::default(),
+            held_back: Pool::default(),
             open_in: Groups::default(),
             in_cell: Groups::default(),
             cells: settings.classes.iter().any(in_cell),
-            region: Groups::default(),
+            region: Pool::default(),
             suspects: BTreeSet::new(),
             in_zone: Groups::default(),
             regions: BTreeMap::new(),
@@ -611,7 +613,8 @@
         let (zone, cell, listed) = (s.listed.zone, s.listed.cell, s.listed.status == Status::Serving);
         let colds = self.settings.cold_share < 1.0 && self.settings.warm_after > Span::ZERO;
         let warm_at = s.listed.started.max(s.returned).map(|at| at + self.settings.warm_after);
-        self.serving.set(i, listed.then_some(open));
+        self.serving.set(i, open);
+        self.held_back.set(i, listed && !open);
         self.open_in.set(i, open.then_some(zone));
         self.in_cell.set(i, (open && self.cells).then_some(cell));
         self.in_zone.set(i, Some(zone));
@@ -622,7 +625,7 @@
             false => self.suspects.remove(&i),
         };
         let region = open && self.in_region(zone);
-        self.region.set(i, region.then_some(true));
+        self.region.set(i, region);
         self.note_pace(i);
     }
 
@@ -651,7 +654,7 @@
 
     /// Open servers that were warm at the last look at the clock.
     pub(crate) fn warm(&self) -> usize {
-        self.serving.of(true).len() - self.warming.len()
+        self.serving.all().len() - self.warming.len()
     }
 
     /// Keeps the regions of zones.
@@ -712,10 +715,10 @@
     pub(crate) fn pool(&self, round: usize, reach: Reach) -> &[usize] {
         match (round, reach) {
             (0, _) => self.open_in.of(self.settings.zone),
-            (1, _) => self.region.of(true),
+            (1, _) => self.region.all(),
             (_, Reach::Zone(zone)) => self.open_in.of(zone),
             (_, Reach::Cell(cell)) => self.in_cell.of(cell),
-            _ => self.serving.of(true),
+            _ => self.serving.all(),
         }
     }
 
@@ -979,7 +982,7 @@
 
     /// The state behind the decisions in one line, for a log.
     pub fn summary(&self) -> String {
-        let serving = || self.serving.of(true).iter().map(|&i| &self.servers[i]);
+        let serving = || self.serving.all().iter().map(|&i| &self.servers[i]);
         let limits = serving().map(|s| s.limit);
         let suspects = self.suspects.len();
         let (least, sum) = limits.fold((f64::INFINITY, 0.0), |(least, sum), l| (least.min(l), sum + l));
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -46,9 +46,9 @@
     let those = |so: &dyn Fn(usize) -> bool| used.iter().copied().filter(|&i| so(i)).collect::<Vec<_>>();
     let open = |i: usize| b.opens(&b.servers[i]);
     assert!((0..b.servers.len()).all(|i| b.servers[i].open == (used.contains(&i) && open(i))), "open");
-    assert_eq!(sorted(b.serving.of(true).to_vec()), those(&open), "serving");
+    assert_eq!(sorted(b.serving.all().to_vec()), those(&open), "serving");
     let held_back = |i: usize| status(i) == Status::Serving && !open(i);
-    assert_eq!(sorted(b.serving.of(false).to_vec()), those(&held_back), "held back");
+    assert_eq!(sorted(b.held_back.all().to_vec()), those(&held_back), "held back");
     for zone in (0..ZONES).map(ZoneId) {
         let there = |i: usize| b.servers[i].listed.zone == zone;
         assert_eq!(sorted(b.open_in.of(zone).to_vec()), those(&|i| open(i) && there(i)), "{zone:?}");
@@ -59,7 +59,7 @@
         assert_eq!(sorted(b.in_cell.of(cell).to_vec()), those(&there), "{cell:?}");
     }
     let region = |i: usize| open(i) && b.in_region(b.servers[i].listed.zone);
-    assert_eq!(sorted(b.region.of(true).to_vec()), those(&region), "region");
+    assert_eq!(sorted(b.region.all().to_vec()), those(&region), "region");
     let suspect = |i: usize| open(i) && b.servers[i].suspicion.is_some();
     assert_eq!(b.suspects.iter().copied().collect::<Vec<_>>(), those(&suspect), "suspects");
     let warm = |i: usize| open(i) && b.warmth(&b.servers[i], b.settled) >= 1.0;
@@ -69,8 +69,8 @@
     let gone = |i: usize| status(i) == Status::Gone;
     assert_eq!(sorted(b.gone.due(Time(u64::MAX)).collect()), those(&gone), "gone");
 
-    assert_eq!(b.shut, b.serving.of(true).is_empty() && !those(&held_back).is_empty(), "shut");
-    assert!(b.most >= b.serving.of(true).len(), "most");
+    assert_eq!(b.shut, b.serving.all().is_empty() && !those(&held_back).is_empty(), "shut");
+    assert!(b.most >= b.serving.all().len(), "most");
     assert!(b.memory.iter().all(|&m| open(m)), "a closed server is remembered");
     let mut out: BTreeMap<usize, u32> = BTreeMap::new();
     b.flights.values().for_each(|f| *out.entry(f.server).or_default() += 1);
@@ -195,7 +195,7 @@
         seen.suspect |= !b.suspects.is_empty();
         seen.untried |= b.untried.len() > 0;
         seen.warming |= b.warming.len() > 0;
-        seen.region |= !b.region.of(true).is_empty();
+        seen.region |= !b.region.all().is_empty();
         check(&mut b, rng.u32(0..6) == 0);
     }
     seen
@@ -236,7 +236,7 @@
         &mut out,
     );
     b.handle(now, Event::List(ListUpdate::Changes(vec![line(7)])), &mut out);
-    let order = |b: &Balancer| (b.serving.of(true).to_vec(), b.open_in.of(ZoneId(1)).to_vec());
+    let order = |b: &Balancer| (b.serving.all().to_vec(), b.open_in.of(ZoneId(1)).to_vec());
     let before = order(&b);
     let shuffled: Vec<Listed> = lines.iter().rev().cloned().collect();
     b.handle(now, Event::List(ListUpdate::Complete(shuffled)), &mut out);
