Tell a renderer what is left when the attempt's head is written

X-Timeout was worded when the attempt was made up (driver `send`, `outgoing`), and a connection may come up 1.5 s later. The request is now made up when its connection is there, with the time to the client's own end at that instant. A long body is still told its whole wait, which counts from its last byte.

--- a/agent/src/driver/mod.rs
+++ b/agent/src/driver/mod.rs
@@ -451,10 +451,9 @@
         open.taken.sends += 1;
         let sent = Instant::now();
         let until = self.clock.instant(timeout_at);
+        let parts = open.parts.clone();
         // A long body is timed from its last byte, by what its client said.
-        let (upload, wait) = (open.parts.intake().cloned(), open.parts.wait());
-        let left = if upload.is_some() { wait } else { until.saturating_duration_since(sent) };
-        let outgoing = outgoing(&open.parts, left);
+        let (upload, wait) = (parts.intake().cloned(), parts.wait());
         let progress = Rc::new(Progress::default());
         state.requests.attempts.insert((request, attempt), progress.clone());
         let driver = self.clone();
@@ -465,11 +464,17 @@
                     Some(upload) => sleep_until(upload.whole().await + wait).await,
                 }
             };
-            let may_begin = || {
-                let balancer = &driver.state.borrow().queue.balancer;
-                balancer.may_begin(driver.clock.now(), request, AttemptNo(attempt))
+            // Its connection may have taken a good part of the wait to come up: what is told is what is left by then.
+            let begin = || {
+                let now = Instant::now();
+                let may_begin = {
+                    let balancer = &driver.state.borrow().queue.balancer;
+                    balancer.may_begin(driver.clock.at(now), request, AttemptNo(attempt))
+                };
+                let left = if upload.is_some() { wait } else { until.saturating_duration_since(now) };
+                may_begin.then(|| outgoing(&parts, left))
             };
-            let ended = driver.upstream.attempt(server, outgoing, may_begin, over, &progress).await;
+            let ended = driver.upstream.attempt(server, begin, parts.intake(), over, &progress).await;
             let since = upload.and_then(|upload| upload.whole_at()).map_or(sent, |whole| whole.max(sent));
             driver.ended((request, attempt), server, ended, since);
         });
--- a/agent/src/renderers/upstream.rs
+++ b/agent/src/renderers/upstream.rs
@@ -5,7 +5,7 @@
 
 use crate::figures::Figures;
 use crate::list::{Health, Host};
-use crate::traffic::body::{Budget, Outgoing, Reply, BUFFER, KEPT_MOST};
+use crate::traffic::body::{Budget, Intake, Outgoing, Reply, BUFFER, KEPT_MOST};
 use crate::traffic::socket::Socket;
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -369,16 +369,16 @@
     }
 
     /// Sends an attempt and waits for its end, until its time is over at the longest. Directly before its first byte
-    /// `may_begin` is asked: a connection takes its time to come up, and what was decided before may hold no more.
+    /// `begin` is asked for the request: a connection takes its time to come up, and what was decided before may hold no
+    /// more. `intake` is the request's body, if that is passed on as it comes.
     pub async fn attempt(
         self: &Rc<Self>,
         server: ServerId,
-        mut request: Request<Outgoing>,
-        may_begin: impl FnOnce() -> bool,
+        begin: impl FnOnce() -> Option<Request<Outgoing>>,
+        intake: Option<&Rc<Intake>>,
         over: impl Future<Output = ()>,
         progress: &Progress,
     ) -> Ended {
-        let intake = request.body().intake();
         let exchange = async {
             let connection = self.connection(server).await.map_err(|outcome| {
                 let why = if outcome == Outcome::NotSent { "no place" } else { "no connection" };
@@ -388,10 +388,11 @@
                 self.park(connection);
                 return Err((None, "called off".to_owned()));
             }
-            if !may_begin() || !self.leads_there(&connection) {
+            let request = if self.leads_there(&connection) { begin() } else { None };
+            let Some(mut request) = request else {
                 self.park(connection);
                 return Err((Some(Outcome::NotSent), "too late to begin".to_owned()));
-            }
+            };
             let length = length(&request).map_or(u64::MAX, |length| connection.wire.written.get() + length);
             let whole = Goal::new(Cell::new(length));
             *progress.wire.borrow_mut() = Some((connection.wire.clone(), whole.clone()));
--- a/agent/src/renderers/upstream/tests.rs
+++ b/agent/src/renderers/upstream/tests.rs
@@ -29,7 +29,8 @@
         upstream.describe(ServerId(1), &list.hosts[0]);
         let request = Request::get("/a").header("host", "s").body(Outgoing::default()).expect("a request");
         let progress = Progress::default();
-        let attempt = upstream.attempt(ServerId(1), request, || true, tokio::time::sleep(wait), &progress);
+        let over = tokio::time::sleep(wait);
+        let attempt = upstream.attempt(ServerId(1), || Some(request), None, over, &progress);
         let ended = tokio::task::LocalSet::new().run_until(attempt).await;
         assert_eq!(ended.outcome, outcome, "with {places} places");
     }
@@ -70,7 +71,7 @@
                 let attempt = || async {
                     let over = tokio::time::sleep(wait);
                     let progress = Progress::default();
-                    upstream.attempt(ServerId(1), get(), || true, over, &progress).await.outcome
+                    upstream.attempt(ServerId(1), || Some(get()), None, over, &progress).await.outcome
                 };
                 // Two at once, so that two connections rest.
                 let both = tokio::join!(attempt(), attempt());
--- a/agent/src/traffic/body.rs
+++ b/agent/src/traffic/body.rs
@@ -440,14 +440,6 @@
         Outgoing::Passed(Upload { intake: intake.clone(), begun: false, ends: None })
     }
 
-    /// The long body that it takes its bytes from.
-    pub fn intake(&self) -> Option<Rc<Intake>> {
-        match self {
-            Outgoing::Kept(_) => None,
-            Outgoing::Passed(upload) => Some(upload.intake.clone()),
-        }
-    }
-
     /// Tells when the last byte of a body without a known length is on its way.
     pub fn ends(&mut self, tell: impl FnOnce() + 'static) {
         if let Outgoing::Passed(upload) = self {
--- a/agent/tests/attempts.rs
+++ b/agent/tests/attempts.rs
@@ -283,6 +283,26 @@
     assert!(soon("the end", read_message(&mut stream, 0)).await.is_none(), "sent to the address of before");
 }
 
+/// A connection takes its time to come up. What an attempt tells its renderer is what is left to the client when its head
+/// is written, and not what was left when it was decided on.
+#[tokio::test]
+async fn an_attempt_tells_what_is_left_when_it_is_written() {
+    const WAIT: Duration = Duration::from_millis(60_000);
+    let choked = Choked::start().await;
+    let (_directory, agent) = watching(host("s", choked.address, "up"), |_| {}).await;
+    let _client = connecting(&agent, "/pay").await;
+    let waits = Instant::now();
+    // Time has to go by for it to be told less.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let gone = waits.elapsed();
+    let mut stream = choked.next().await;
+    let message = soon("the attempt", read_message(&mut stream, 0)).await.expect("a request");
+    let told = message.header("x-timeout").and_then(|told| told.strip_suffix('u')?.parse().ok());
+    let told = Duration::from_micros(told.expect("a wait"));
+    assert!(told <= WAIT - gone, "told {told:?} after {gone:?} of {WAIT:?}");
+    assert!(told > WAIT / 2, "told {told:?}");
+}
+
 /// Renderers forget a key when its window is over. A repeat that was decided on in time and whose connection comes up
 /// after that would run a second time.
 #[tokio::test]
