Learn of a client's end behind unread bytes when it comes, not by a look

The runtime tells of a peer's end apart from its bytes; that is waited for now, without a clock.

an_end_behind_unread_bytes_is_seen_without_delay has a clock of its own and fails on the look, 0.1 s late.

--- a/agent/src/traffic/socket.rs
+++ b/agent/src/traffic/socket.rs
@@ -1,7 +1,6 @@
 //! A TCP connection that the HTTP library reads and writes, and that its keeper can look at meanwhile and end politely.
 
 use socket2::SockRef;
-use std::future::ready;
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
@@ -12,16 +11,13 @@
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::yield_now;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 /// A peer that is told of the end has this long to end its own side. What it still sends is read until then, and not
 /// heard; later bytes reset the connection, which by then can take nothing along that the peer waits for.
 const PART_MOST: Duration = Duration::from_millis(500);
 /// What is read away at a time.
 const PIECE: usize = 4 << 10;
-/// How often a peer that waits is looked after: well within the 0.3 s after which the operators count what is still sent
-/// on for one that has left.
-const LOOK: Duration = Duration::from_millis(100);
 
 /// One connection; its clones are the same one, which closes with the last.
 #[derive(Clone)]
@@ -46,18 +42,12 @@
         peeked.is_err_and(|why| why.kind() == io::ErrorKind::WouldBlock)
     }
 
-    /// Ends when the peer has closed or reset its side, also where bytes that nobody reads yet stand before that.
+    /// Ends as soon as the peer has closed or reset its side, also where bytes that nobody reads yet stand before that.
     pub async fn left(&self) {
-        loop {
-            sleep(LOOK).await;
-            let seen = tokio::select! {
-                biased;
-                seen = self.0.ready(Interest::READABLE) => Some(seen),
-                () = ready(()) => None,
-            };
-            if seen.is_some_and(|seen| seen.map_or(true, |seen| seen.is_read_closed())) {
-                return;
-            }
+        // Of what may wake this, nothing but the end ever comes: no peer has anything urgent to say, and bytes alone do
+        // not count.
+        while self.0.ready(Interest::PRIORITY).await.is_ok_and(|seen| !seen.is_read_closed()) {
+            yield_now().await;
         }
     }
 
@@ -136,3 +126,6 @@
         self.poll_with(cx, |stream| stream.try_write_vectored(bufs))
     }
 }
+
+#[cfg(test)]
+mod tests;
