Say close with a connection's first answer while all places are taken

The time goes by in the system's queue, where connections wait for a place (application/server.rs, `accept`) that idle clients hold for 2.2 s each; the descriptors are those that wait there.

Connections that are used again stay.

--- a/agent/src/application/server.rs
+++ b/agent/src/application/server.rs
@@ -148,8 +148,10 @@
         let server = self.clone();
         let pace = Pace::new();
         let client = (pace.clone(), socket.clone());
-        let service =
-            service_fn(move |request| server.clone().answer(request, client.0.head(), client.1.clone()));
+        let service = service_fn(move |request| {
+            let first = client.0.fresh();
+            server.clone().answer(request, client.0.head(), client.1.clone(), first)
+        });
         let mut builder = http1::Builder::new();
         // Hyper's own time for a head would go by idle time and head together.
         builder.header_read_timeout(None).keep_alive(!late).max_buf_size(BUFFER);
@@ -185,6 +187,7 @@
         request: Request<Incoming>,
         (patience, asked): (Patience, Asked),
         socket: Socket,
+        first: bool,
     ) -> Result<Response<Reply>, Infallible> {
         let answer = tokio::select! {
             biased;
@@ -194,7 +197,10 @@
         };
         let (Ok(mut answer) | Err(mut answer)) = answer;
         answer.body_mut().answers(asked);
-        if *self.stay.borrow() != Stay::On {
+        // When all places are taken, who comes waits in the system's queue, unheard while its time goes by, and the terms let
+        // nobody who rests be closed for 2 s. So a connection goes with its first answer then; one that is used again stays.
+        let crowded = first && self.places.available_permits() == 0;
+        if crowded || *self.stay.borrow() != Stay::On {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(answer)
