--- a/agent/tests/terms.rs
+++ b/agent/tests/terms.rs
@@ -138,6 +138,7 @@
     }
     for agent in &agents {
         agent.ready().await;
+        assert_eq!(agent.get("/read").await.status(), 200);
         assert!(started.elapsed() < READY_MOST, "{:?}", started.elapsed());
     }
 }
