--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod report;
 pub mod result;
 pub mod saturate;
+pub mod scale;
 pub mod scenario;
 pub mod scripted;
 pub mod stage;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -7,7 +7,7 @@
 use micasail_lab::play::{self, End, Stage, Tick};
 use micasail_lab::result::Played;
 use micasail_lab::scenario::{self, Scenario};
-use micasail_lab::{saturate, sweep, table};
+use micasail_lab::{saturate, scale, sweep, table};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -43,6 +43,9 @@
     Compare(Compare),
     /// Finds what an agent on one core bears and costs, beside a bare relay
     Saturate(Saturate),
+    /// Measures what something costs at several sizes, and fits a slope
+    #[command(subcommand)]
+    Scale(Scale),
     /// The bare relay
     #[command(hide = true)]
     Relay,
@@ -135,6 +138,33 @@
     json: Option<PathBuf>,
 }
 
+/// What is measured by size.
+#[derive(Subcommand)]
+enum Scale {
+    /// An agent by the servers that it knows
+    List(ScaleArgs),
+    /// A renderer by the agents that call it
+    Renderer(ScaleArgs),
+    /// A call by the agents that it goes through
+    Depth(ScaleArgs),
+    /// Discovery by the agents that watch it
+    Watchers(ScaleArgs),
+    /// `bellctl` by the agents that it asks
+    Staff(ScaleArgs),
+}
+
+#[derive(Args)]
+struct ScaleArgs {
+    /// A TOML file with sizes and repeats; the lab's own if absent
+    file: Option<PathBuf>,
+    /// The agent's program; `bellcroft` beside this one if absent
+    #[arg(long, value_name = "PATH")]
+    agent: Option<PathBuf>,
+    /// Writes the slopes in the words that `lab capacity` reads
+    #[arg(long, value_name = "FILE")]
+    slopes: Option<PathBuf>,
+}
+
 fn pair(text: &str) -> Result<(String, String), String> {
     let (key, value) = text.split_once('=').ok_or("KEY=VALUE was expected")?;
     Ok((key.to_owned(), value.to_owned()))
@@ -159,6 +189,7 @@
         Command::Sweep(args) => sweep(&args),
         Command::Compare(args) => compare(&args),
         Command::Saturate(args) => saturate(&args),
+        Command::Scale(which) => on_runtime(scale(which)),
         Command::Relay => {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let ended = runtime.map_err(|e| e.to_string()).and_then(|r| r.block_on(saturate::relay()));
@@ -387,6 +418,28 @@
     }
 }
 
+/// Prints what a scale test came to, and writes its slopes where that is asked for.
+async fn scale(which: Scale) -> Result<u8, String> {
+    let (Scale::List(args)
+    | Scale::Renderer(args)
+    | Scale::Depth(args)
+    | Scale::Watchers(args)
+    | Scale::Staff(args)) = &which;
+    let (file, agent) = (args.file.as_deref(), play::program(args.agent.as_deref())?);
+    let scaled = match which {
+        Scale::List(_) => scale::list::run(file, &agent).await?,
+        Scale::Renderer(_) => scale::renderer::run(file, &agent).await?,
+        Scale::Depth(_) => scale::depth::run(file, &agent).await?,
+        Scale::Watchers(_) => scale::watchers::run(file, &agent).await?,
+        Scale::Staff(_) => scale::staff::run(file, &agent).await?,
+    };
+    say(&scaled.table());
+    if let Some(file) = &args.slopes {
+        std::fs::write(file, scaled.slopes()).map_err(|e| format!("{}: {e}", file.display()))?;
+    }
+    Ok(HELD)
+}
+
 fn compare(args: &Compare) -> Result<u8, String> {
     use micasail_lab::compare::{compare, Sweep};
     say(&compare(&Sweep::read(&args.base)?, &Sweep::read(&args.new)?)?);
