--- a/lab/src/saturate.rs
+++ b/lab/src/saturate.rs
@@ -74,7 +74,7 @@
 }
 
 /// Serves what comes at once, on every path, as a renderer, as discovery, and as one that is ready.
-async fn stand_in(listener: TcpListener, list: Arc<str>) {
+pub(crate) async fn stand_in(listener: TcpListener, list: Arc<str>) {
     while let Ok((stream, _)) = listener.accept().await {
         let _ = stream.set_nodelay(true);
         let list = list.clone();
@@ -163,6 +163,35 @@
     Ok(last)
 }
 
+/// Starts a program that is told this configuration, with a folder of its own beside it, on one core. It ends with the
+/// lab, and must be started from a thread that lives as long as it shall.
+pub(crate) fn spawn(
+    program: &Path,
+    args: &[&str],
+    core: usize,
+    config: &Path,
+    log: Stdio,
+) -> Result<Child, String> {
+    let mut command = Command::new(program);
+    command.args(args).env_clear().env("PROXY_CONFIG", config);
+    command.env("TMPDIR", config.parent().unwrap_or(Path::new("/")));
+    command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).kill_on_drop(true);
+    crate::stage::processes::bind_to_this(&mut command, None);
+    let child = command.spawn().map_err(|e| format!("{}: {e}", program.display()))?;
+    let mut set = rustix::thread::CpuSet::new();
+    set.set(core);
+    let pid = child.id().and_then(|id| rustix::process::Pid::from_raw(id as i32));
+    rustix::thread::sched_setaffinity(pid, &set)
+        .map_err(|e| format!("{} cannot be held to core {core}: {e}", program.display()))?;
+    Ok(child)
+}
+
+/// An address on the loopback network whose port is free a moment before whoever is told of it takes it.
+pub(crate) fn free(ip: std::net::Ipv4Addr) -> Result<SocketAddr, String> {
+    let probe = std::net::TcpListener::bind((ip, 0));
+    probe.and_then(|probe| probe.local_addr()).map_err(|e| format!("no port is free at {ip}: {e}"))
+}
+
 impl Bench {
     async fn start(program: &Path, args: &[&str], core: usize, settings: &Scenario) -> Result<Self, String> {
         let folder = tempfile::tempdir().map_err(|e| format!("no folder for the agent: {e}"))?;
@@ -183,15 +212,9 @@
         }
         let (listener, discovery) = bind()?;
         tokio::spawn(stand_in(TcpListener::from_std(listener).map_err(|e| e.to_string())?, list));
-        // The port is free a moment before the agent takes it, on an address that nothing else here uses.
-        let agent: SocketAddr = {
-            let block = std::process::id().to_be_bytes();
-            let probe = std::net::TcpListener::bind((
-                std::net::Ipv4Addr::new(127, 250, block[2], block[3].max(1)),
-                0,
-            ));
-            probe.and_then(|probe| probe.local_addr()).map_err(|e| format!("no port is free: {e}"))?
-        };
+        // On an address that nothing else here uses.
+        let block = std::process::id().to_be_bytes();
+        let agent = free(std::net::Ipv4Addr::new(127, 250, block[2], block[3].max(1)))?;
         let class = &settings.classes[0];
         let file = folder.path().join("agent.json");
         let config = json!({
@@ -203,15 +226,7 @@
                 "limits": {"cancel": true, "connectTimeoutMs": 250.0, "keepaliveMs": 60000.0, "maxAttempts": 3}},
         });
         std::fs::write(&file, config.to_string()).map_err(|e| format!("{}: {e}", file.display()))?;
-        let mut command = Command::new(program);
-        command.args(args).env_clear().env("PROXY_CONFIG", &file).env("TMPDIR", folder.path());
-        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null()).kill_on_drop(true);
-        let child = command.spawn().map_err(|e| format!("{}: {e}", program.display()))?;
-        let mut set = rustix::thread::CpuSet::new();
-        set.set(core);
-        let pid = child.id().and_then(|id| rustix::process::Pid::from_raw(id as i32));
-        rustix::thread::sched_setaffinity(pid, &set)
-            .map_err(|e| format!("{} cannot be held to core {core}: {e}", program.display()))?;
+        let child = spawn(program, args, core, &file, Stdio::null())?;
         let bench = Bench { agent, child, class: class.name.clone(), _folder: folder };
         let deadline = Wall::now() + Duration::from_secs(10);
         while !matches!(timeout(Duration::from_secs(1), bench.ask_once("/ready")).await, Ok(Some(true))) {
--- a/lab/src/stage/directory.rs
+++ b/lab/src/stage/directory.rs
@@ -19,12 +19,19 @@
 use tokio::sync::watch;
 
 /// The longest wait of a watch.
-const WAIT_MOST: Duration = Duration::from_millis(60_000);
+pub(crate) const WAIT_MOST: Duration = Duration::from_millis(60_000);
 /// After a move the old address keeps its open connections for this long.
 const MOVED: Duration = Duration::from_millis(1500);
 /// What an agent does not come to hear counts as told this much later all the same.
 const TOLD_AFTER: Micros = 6_000_000;
 
+/// A figure that a call names, as `after` in `?after=41`.
+pub(crate) fn asked(uri: &str, name: &str) -> Option<u64> {
+    let query = uri.split_once('?').map_or("", |(_, query)| query);
+    let pair = query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
+    pair.and_then(|figure| figure.parse().ok())
+}
+
 /// What the list says of a renderer.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Health {
@@ -302,11 +309,6 @@
     }
 
     async fn answer(world: &Arc<World>, agent: usize, uri: String) -> Response<Full<Bytes>> {
-        let asked = |name: &str| {
-            let query = uri.split_once('?').map_or("", |(_, query)| query);
-            let pair = query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
-            pair.and_then(|figure| figure.parse::<u64>().ok())
-        };
         let directory = &world.directory;
         let mut changes = directory.views[agent].subscribe();
         // The lab answers as long as it lives.
@@ -316,8 +318,8 @@
             *response.status_mut() = hyper::StatusCode::NOT_FOUND;
             return response;
         }
-        let since = asked("after");
-        let wait = Duration::from_millis(asked("wait_ms").unwrap_or(0)).min(WAIT_MOST);
+        let since = asked(&uri, "after");
+        let wait = Duration::from_millis(asked(&uri, "wait_ms").unwrap_or(0)).min(WAIT_MOST);
         let until = tokio::time::Instant::now() + wait;
         let mut told = directory.told.subscribe();
         let list = loop {
--- a/lab/src/stage/processes.rs
+++ b/lab/src/stage/processes.rs
@@ -84,7 +84,7 @@
 }
 
 /// The last line of a file, for a message.
-fn last_line(path: &Path) -> String {
+pub(crate) fn last_line(path: &Path) -> String {
     let mut text = String::new();
     let read = File::open(path).and_then(|mut file| {
         let length = file.metadata()?.len();
@@ -361,7 +361,7 @@
 
 /// The child dies with the lab, however that ends, and finds the inherited listener where it expects it.
 #[allow(unsafe_code)]
-fn bind_to_this(command: &mut Command, listener: Option<RawFd>) {
+pub(crate) fn bind_to_this(command: &mut Command, listener: Option<RawFd>) {
     let parent = rustix::process::getpid();
     let prepare = move || -> io::Result<()> {
         rustix::process::set_parent_process_death_signal(Some(Signal::KILL))?;
@@ -384,7 +384,7 @@
     unsafe { command.pre_exec(prepare) };
 }
 
-async fn is_ready(address: std::net::SocketAddr) -> bool {
+pub(crate) async fn is_ready(address: std::net::SocketAddr) -> bool {
     let asked = async {
         let mut stream = TcpStream::connect(address).await.ok()?;
         stream.write_all(b"GET /ready HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n").await.ok()?;
@@ -416,6 +416,27 @@
     Some(ticks / TICKS)
 }
 
+/// What the scheduler says of a process.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Scheduled {
+    /// Processor time of its threads that still run, in seconds, to the nanosecond and not to a clock tick.
+    pub ran_s: f64,
+    /// How long they stood ready without a core, in seconds.
+    pub waited_s: f64,
+}
+
+/// Of a process by its number; `None` where the system does not tell.
+pub fn scheduled(id: u32) -> Option<Scheduled> {
+    let mut all = Scheduled::default();
+    for task in std::fs::read_dir(format!("/proc/{id}/task")).ok()? {
+        let text = std::fs::read_to_string(task.ok()?.path().join("schedstat")).ok()?;
+        let mut ns = text.split_whitespace().map(str::parse::<f64>);
+        all.ran_s += ns.next()?.ok()? / 1e9;
+        all.waited_s += ns.next()?.ok()? / 1e9;
+    }
+    Some(all)
+}
+
 /// Memory that a process holds, in MB.
 pub fn memory_mb(id: u32) -> Option<f64> {
     let pages = std::fs::read_to_string(format!("/proc/{id}/statm")).ok()?;
