Measure a call by its depth, and a renderer by the agents that call it

Need: docs/CAPACITY.md needs slopes for calls through chains of agents and for what many agents cost one renderer. A machine counts connections, handshakes and probes; an agent's list can be a part of the renderers; a cold renderer keeps its worst window.

--- a/lab/src/renderer.rs
+++ b/lab/src/renderer.rs
@@ -136,6 +136,8 @@
     done_work: f64,
     /// Work done since the play began, warm or cold.
     pub total_work: f64,
+    /// The window in which it was sent the most against what it is allowed, since it last started.
+    pub cold_most: Option<ColdWindow>,
     jobs: Vec<Job>,
     queue: VecDeque<Waiting>,
     sent: VecDeque<(Micros, f64)>,
@@ -158,6 +160,7 @@
             now: 0,
             done_work: 0.0,
             total_work: 0.0,
+            cold_most: None,
             jobs: Vec::new(),
             queue: VecDeque::new(),
             sent: VecDeque::new(),
@@ -258,6 +261,11 @@
         let sent: f64 = self.sent.iter().map(|(_, work)| work).sum();
         let can = f64::from(self.spec.cores) * self.spec.speed * warmth * self.rule.window_us as f64;
         let budget = self.rule.multiple * can + SLACK_REQUESTS * self.rule.mean_work;
+        let window =
+            ColdWindow { requests: self.sent.len(), borne: self.rule.multiple * can / self.rule.mean_work };
+        if self.cold_most.is_none_or(|most| window.share() > most.share()) {
+            self.cold_most = Some(window);
+        }
         if sent <= budget {
             return Ok(());
         }
@@ -313,6 +321,7 @@
         self.started = Some(now);
         self.done_work = 0.0;
         self.sent.clear();
+        self.cold_most = None;
         true
     }
 
@@ -466,6 +475,27 @@
     }
 }
 
+/// What a cold renderer was sent within the window of the rule, against what it bears.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdWindow {
+    /// Requests that it was sent.
+    pub requests: usize,
+    /// Requests of mean work that the rule's multiple of its capacity comes to.
+    pub borne: f64,
+}
+
+impl ColdWindow {
+    /// Requests that the operators allow: with twice the root and two more, as chance brings them in bunches.
+    pub fn allowed(&self) -> f64 {
+        self.borne + 2.0 * self.borne.sqrt() + 2.0
+    }
+
+    /// What it was sent as a share of what is allowed.
+    pub fn share(&self) -> f64 {
+        self.requests as f64 / self.allowed()
+    }
+}
+
 /// A cold renderer has been sent more than it could bear.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PushedOver {
--- a/lab/src/stage/directory.rs
+++ b/lab/src/stage/directory.rs
@@ -68,6 +68,8 @@
     heard: usize,
     /// It is to call the other address.
     moved: bool,
+    /// The renderers that its list holds: from, and up to but without.
+    part: (usize, usize),
 }
 
 /// Discovery.
@@ -85,7 +87,8 @@
 impl Directory {
     /// All renderers are up, and all agents know.
     pub fn new(plan: &Plan) -> Self {
-        let view = View { mood: Mood::Well, stale: 0, reached: 0, heard: 0, moved: false };
+        let part = (0, plan.renderers.len());
+        let view = View { mood: Mood::Well, stale: 0, reached: 0, heard: 0, moved: false, part };
         Directory {
             news: Mutex::new(Vec::new()),
             told: watch::Sender::new(0),
@@ -139,6 +142,11 @@
         });
     }
 
+    /// An agent's list holds these renderers alone, from before its first start on.
+    pub fn narrow(&self, agent: usize, part: std::ops::Range<usize>) {
+        self.views[agent].send_modify(|view| view.part = (part.start, part.end));
+    }
+
     /// Moves to the other address for an agent.
     pub fn moves(&self, agent: usize) {
         self.views[agent].send_modify(|view| view.moved = !view.moved);
@@ -192,10 +200,12 @@
     /// The list as an agent has it by the news up to `reached`: what has changed since `after`, or all of it.
     fn list(&self, world: &World, agent: usize, reached: usize, after: Option<usize>) -> Value {
         let mut state: BTreeMap<usize, (Health, f64)> = BTreeMap::new();
+        let (from, to) = self.views[agent].borrow().part;
         if after.is_none() {
-            state.extend((0..world.plan.renderers.len()).map(|r| (r, (Health::Up, 0.0))));
+            state.extend((from..to).map(|r| (r, (Health::Up, 0.0))));
         }
-        for news in &self.news()[after.unwrap_or(0)..reached] {
+        let of_it = |news: &&News| (from..to).contains(&news.renderer);
+        for news in self.news()[after.unwrap_or(0)..reached].iter().filter(of_it) {
             state.insert(news.renderer, (news.health, news.born_ms));
         }
         if after.is_none() {
@@ -207,7 +217,7 @@
         self.hears(agent, reached);
         let mut ledger = world.ledger();
         if after.is_none() {
-            for renderer in (0..world.plan.renderers.len()).filter(|r| !state.contains_key(r)) {
+            for renderer in (from..to).filter(|r| !state.contains_key(r)) {
                 ledger.told(now, agent, renderer, false);
             }
         }
--- a/lab/src/stage/gate.rs
+++ b/lab/src/stage/gate.rs
@@ -269,12 +269,8 @@
         world.ledger().probes += 1;
         link.carry(Toward::Renderer, &mut draw).await;
         machine.awake().await;
-        let report = machine.with(|renderer| {
-            let now = world.clock.now();
-            let work = renderer.spec().probe_us;
-            renderer.chore(now, work);
-            format!("TEXT inflight={}, queue={}", renderer.in_flight(), renderer.queued())
-        });
+        let (in_flight, queued) = machine.probed(world.clock.now());
+        let report = format!("TEXT inflight={in_flight}, queue={queued}");
         link.carry(Toward::Agent, &mut draw).await;
         return Ok(plain(StatusCode::OK, false, if load { report } else { "ok".into() }));
     }
@@ -340,7 +336,7 @@
 }
 
 /// Reads a wait such as `480m` or `900u`.
-fn wait_us(text: &str) -> Option<u64> {
+pub fn wait_us(text: &str) -> Option<u64> {
     let unit = match text.chars().last()? {
         'm' => 1000.0,
         'u' => 1.0,
--- a/lab/src/stage/machine.rs
+++ b/lab/src/stage/machine.rs
@@ -48,11 +48,22 @@
     renderer: Renderer,
     waiting: HashMap<Ticket, oneshot::Sender<Work>>,
     next: Ticket,
-    connections: u32,
+    borne: Borne,
     failing: f64,
     resets: f64,
 }
 
+/// What agents' ways to it have cost a machine.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Borne {
+    /// Connections that are open now.
+    pub connections: u32,
+    /// Connections that have been made since the play began.
+    pub handshakes: u64,
+    /// Probes that it has answered since then.
+    pub probes: u64,
+}
+
 /// A renderer's machine.
 pub struct Machine {
     held: Mutex<Held>,
@@ -68,7 +79,7 @@
                 renderer: Renderer::warm(spec, rule),
                 waiting: HashMap::new(),
                 next: 1,
-                connections: 0,
+                borne: Borne::default(),
                 failing: 0.0,
                 resets: 0.0,
             }),
@@ -149,11 +160,13 @@
     pub fn connects(&self, now: Micros, comes: bool) -> bool {
         let mut held = self.held();
         let most = held.renderer.spec().connections;
-        if comes && held.connections >= most {
+        if comes && held.borne.connections >= most {
             return false;
         }
-        held.connections = if comes { held.connections + 1 } else { held.connections.saturating_sub(1) };
-        let connections = held.connections;
+        held.borne.handshakes += u64::from(comes);
+        let connections = held.borne.connections;
+        let connections = if comes { connections + 1 } else { connections.saturating_sub(1) };
+        held.borne.connections = connections;
         held.renderer.connected(now, connections);
         if comes {
             let work = held.renderer.spec().handshake_us;
@@ -164,6 +177,23 @@
         true
     }
 
+    /// A probe has come: how many requests it holds, and of them how many wait for a slot.
+    pub fn probed(&self, now: Micros) -> (usize, usize) {
+        let mut held = self.held();
+        held.borne.probes += 1;
+        let work = held.renderer.spec().probe_us;
+        held.renderer.chore(now, work);
+        let told = (held.renderer.in_flight(), held.renderer.queued());
+        drop(held);
+        self.changed.notify_one();
+        told
+    }
+
+    /// What agents' ways to it have cost so far.
+    pub fn borne(&self) -> Borne {
+        self.held().borne
+    }
+
     /// The process ends, with a word to its peers or, if the machine vanishes, without one.
     pub fn end(&self, now: Micros, presence: Presence) {
         let mut held = self.held();
