lab scale depth: a chain of the lab alone as control for work that is left behind

Need: a share of wasted work says nothing of agents unless the chain without them is seen to waste none; work still under way at the end counted for ever. Change: left_lab, and an end of the look for unfinished work; figure names and what they are sit in one table.

--- a/lab/src/scale/depth.rs
+++ b/lab/src/scale/depth.rs
@@ -169,13 +169,16 @@
     /// The chain has its agents, and is not the lab alone.
     agents: bool,
     name: &'static str,
-    /// What its figures are called.
-    attempts: &'static str,
-    worst: &'static str,
-    factor: &'static str,
     what: &'static str,
+    /// Its figures with what they are.
+    attempts: Named,
+    worst: Named,
+    factor: Named,
 }
 
+/// A figure's name, and what it is.
+type Named = (&'static str, &'static str);
+
 macro_rules! look {
     ($name:literal, $state:expr, $class:expr, $what:literal) => {
         Look {
@@ -183,15 +186,28 @@
             class: $class,
             agents: true,
             name: $name,
-            attempts: concat!("depth_attempts_", $name),
-            worst: concat!("depth_attempts_", $name, "_worst"),
-            factor: concat!("depth_factor_", $name),
             what: $what,
+            attempts: (
+                concat!("depth_attempts_", $name),
+                concat!("attempts at the deepest for a call while it ", $what, ", later half of the calls"),
+            ),
+            worst: (
+                concat!("depth_attempts_", $name, "_worst"),
+                concat!(
+                    "attempts at the deepest for a call while it ",
+                    $what,
+                    ", worst tenth of them in a row"
+                ),
+            ),
+            factor: (
+                concat!("depth_factor_", $name),
+                concat!("factor a hop, attempts^(1/depth), while the deepest ", $what),
+            ),
         }
     };
 }
 
-const LOOKS: [Look; 8] = [
+const LOOKS: [Look; 9] = [
     look!("well", State::Well, SAFE, "is well"),
     Look { agents: false, ..look!("lab", State::Well, SAFE, "is well, without agents") },
     look!("fail", State::Fails, SAFE, "fails"),
@@ -200,6 +216,10 @@
     look!("fail_half", State::Half, SAFE, "fails half of its attempts"),
     look!("fail_keyed", State::Fails, KEYED, "fails a keyed class"),
     look!("left", State::Left, SAFE, "is well and clients leave"),
+    Look {
+        agents: false,
+        ..look!("left_lab", State::Left, SAFE, "is well and clients leave, without agents")
+    },
 ];
 
 /// A piece of work at the deepest level.
@@ -476,6 +496,8 @@
 struct Seen {
     calls: Vec<Call>,
     works: Vec<Work>,
+    /// When the look was over; what still was at work then ends there.
+    over: Micros,
     late_ms: f64,
 }
 
@@ -516,6 +538,7 @@
     }
     world.clock.begin();
     let calls = chain.calls().await;
+    let over = world.clock.now();
     let mut crashed = Vec::new();
     if look.agents {
         crashed = agents.used().into_iter().flat_map(|used| used.crashes).collect();
@@ -525,7 +548,7 @@
         return Err(format!("an agent of {depth} ended unasked while the deepest {}: {how}", look.what));
     }
     let works = crate::lock(&chain.works).clone();
-    Ok(Seen { calls, works, late_ms: world.clock.late_ms(0.99) })
+    Ok(Seen { calls, works, over, late_ms: world.clock.late_ms(0.99) })
 }
 
 /// The figure at a quantile of what is sorted here; none of nothing.
@@ -567,7 +590,7 @@
         let (mut attempts, mut late, mut after) = (0u32, 0u32, 0);
         for work in &self.works {
             let Some(Call { at, end: End::Left, .. }) = self.calls.get(work.call) else { continue };
-            let ended = work.ended.unwrap_or(Micros::MAX >> 1);
+            let ended = work.ended.unwrap_or(self.over);
             attempts += 1;
             late += u32::from(work.began.max(ended) > at + slack);
             after += ended.saturating_sub(work.began.max(*at));
@@ -599,14 +622,37 @@
 }
 
 /// Takes a measurement into its figure.
-fn note(figures: &mut Vec<Figure>, name: &'static str, what: String, unit: &'static str, at: (usize, f64)) {
+fn note(figures: &mut Vec<Figure>, (name, what): Named, unit: &'static str, at: (usize, f64)) {
     let point = Point { size: at.0 as f64, value: at.1 };
     match figures.iter_mut().find(|figure| figure.name == name) {
         Some(figure) => figure.points.push(point),
-        None => figures.push(Figure { name, what: what.leak(), unit, per: "hop", points: vec![point] }),
+        None => figures.push(Figure { name, what, unit, per: "hop", points: vec![point] }),
     }
 }
 
+const ADDED: [Named; 2] = [
+    ("depth_added_p50_ms", "what agents and stand-ins add to a call, median"),
+    ("depth_added_p99_ms", "what agents and stand-ins add to a call, 99th percentile"),
+];
+const LAB: [Named; 2] = [
+    ("depth_lab_p50_ms", "what stand-ins alone, without agents, add to a call, median"),
+    ("depth_lab_p99_ms", "what stand-ins alone, without agents, add to a call, 99th percentile"),
+];
+const WASTED: [Named; 2] = [
+    (
+        "depth_wasted_share",
+        "attempts at the deepest that began or worked on after their client had left and the slack",
+    ),
+    ("depth_wasted_ms", "work at the deepest after its client had left, for each that left"),
+];
+const LAB_WASTED: [Named; 2] = [
+    (
+        "depth_lab_wasted_share",
+        "the same share in a chain of stand-ins alone, which all give up with their caller",
+    ),
+    ("depth_lab_wasted_ms", "work at the deepest after its client had left, in a chain of stand-ins alone"),
+];
+
 /// Measures chains of agents by their depth.
 pub async fn run(file: Option<&Path>, program: &Path) -> Result<Scaled, String> {
     let asked: Asked = read(file, BUILT_IN)?;
@@ -617,9 +663,9 @@
     let mut late = 0.0f64;
     for repeat in 0..asked.repeats {
         for &depth in &asked.depths {
-            // A keyed class is looked at once, for what it differs.
+            // A keyed class and the lab alone are looked at once, for what they differ.
             let taken = LOOKS.into_iter().filter(|look| asked.states.iter().any(|state| state == look.name));
-            for look in taken.filter(|look| repeat == 0 || look.class == SAFE) {
+            for look in taken.filter(|look| repeat == 0 || look.class == SAFE && look.agents) {
                 bar.set_message(format!("{depth} deep, the deepest {}", look.what));
                 let seen = measure(&asked, depth, look, program).await?;
                 if look.state == State::Well {
@@ -638,51 +684,35 @@
 /// The figures of one chain.
 fn take(scaled: &mut Scaled, asked: &Asked, depth: usize, look: Look, seen: &Seen, first: bool) {
     let figures = &mut scaled.figures;
-    if look.state == State::Well {
-        let (p50, p99, whose) = match look.agents {
-            true => ("depth_added_p50_ms", "depth_added_p99_ms", "agents and stand-ins add"),
-            false => ("depth_lab_p50_ms", "depth_lab_p99_ms", "stand-ins alone, without agents, add"),
-        };
-        let mut added = seen.added(asked);
-        for (name, q) in [(p50, 0.5), (p99, 0.99)] {
-            if let Some(ms) = quantile(&mut added, q) {
-                let what = format!("what {whose} to a call, quantile {q}");
-                note(figures, name, what, "ms", (depth, ms));
+    match look.state {
+        State::Well => {
+            let mut added = seen.added(asked);
+            for (figure, q) in (if look.agents { ADDED } else { LAB }).into_iter().zip([0.5, 0.99]) {
+                if let Some(ms) = quantile(&mut added, q) {
+                    note(figures, figure, "ms", (depth, ms));
+                }
+            }
+            if look.agents {
+                note(figures, look.attempts, "attempts", (depth, mean(&seen.attempts(asked))));
+            }
+            if seen.share(asked, |end| end == End::Answer(StatusCode::OK)) < 1.0 {
+                scaled.notes.push(format!("{depth} deep, the deepest {}: {}", look.what, seen.ends(asked)));
             }
         }
-        let served = seen.share(asked, |end| end == End::Answer(StatusCode::OK));
-        if served < 1.0 {
-            let line = format!("{depth} deep, the deepest {}: {}", look.what, seen.ends(asked));
-            scaled.notes.push(line);
-        }
-    }
-    let figures = &mut scaled.figures;
-    match look.state {
         State::Left => {
             let (share, ms) = seen.wasted(asked);
-            let what =
-                "attempts at the deepest that began or worked on after their client had left and the slack";
-            note(figures, "depth_wasted_share", what.into(), "share", (depth, share));
-            let what = "work at the deepest after its client had left, for each that left";
-            note(figures, "depth_wasted_ms", what.into(), "ms", (depth, ms));
-        }
-        State::Well if look.agents => {
-            let what = format!("attempts at the deepest for a call while it {}", look.what);
-            note(figures, look.attempts, what, "attempts", (depth, mean(&seen.attempts(asked))));
+            let [first, second] = if look.agents { WASTED } else { LAB_WASTED };
+            note(figures, first, "share", (depth, share));
+            note(figures, second, "ms", (depth, ms));
         }
-        State::Well => {}
         _ => {
             let made = seen.attempts(asked);
             let in_a_row = ((asked.calls as f64 * WORST) as usize).max(1);
             let worst = made.windows(in_a_row).map(mean).fold(0.0, f64::max);
             let steady = mean(&made[(asked.calls as f64 * STEADY) as usize..]);
-            let what = format!("attempts at the deepest for a call while it {}", look.what);
-            note(figures, look.attempts, format!("{what}, later half"), "attempts", (depth, steady));
-            let row = format!("{what}, worst {in_a_row} calls in a row");
-            note(figures, look.worst, row, "attempts", (depth, worst));
-            let factor = steady.powf(1.0 / depth as f64);
-            let what = format!("factor a hop, attempts^(1/depth), while the deepest {}", look.what);
-            note(figures, look.factor, what, "factor", (depth, factor));
+            note(figures, look.attempts, "attempts", (depth, steady));
+            note(figures, look.worst, "attempts", (depth, worst));
+            note(figures, look.factor, "factor", (depth, steady.powf(1.0 / depth as f64)));
             if first {
                 scaled.notes.push(format!("{depth} deep, the deepest {}: {}", look.what, seen.ends(asked)));
             }
@@ -693,8 +723,9 @@
 /// What is to be known beside the figures.
 fn conclude(scaled: &mut Scaled, asked: &Asked, late: f64) {
     for look in LOOKS {
-        let Some(figure) = scaled.figures.iter().find(|figure| figure.name == look.factor) else { continue };
-        let (name, worst) = (look.factor, figure.points.iter().max_by(|a, b| a.value.total_cmp(&b.value)));
+        let (name, _) = look.factor;
+        let Some(figure) = scaled.figures.iter().find(|figure| figure.name == name) else { continue };
+        let worst = figure.points.iter().max_by(|a, b| a.value.total_cmp(&b.value));
         let Some(Point { size, value }) = worst else { continue };
         scaled.notes.push(format!("{name}: at most {value:.3} a hop, at {size}"));
     }
--- a/lab/tests/scale_depth.rs
+++ b/lab/tests/scale_depth.rs
@@ -6,7 +6,7 @@
 
 const SMALL: &str =
     "depths = [1, 2, 3, 4]\nrepeats = 1\nstates = [\"well\", \"lab\", \"fail\", \"fail_half\", \
-                     \"fail_keyed\", \"refuse\", \"slow\", \"left\"]\nrenderers = 2\nrate = 200\ncalls = 10\n\
+                     \"fail_keyed\", \"refuse\", \"slow\", \"left\", \"left_lab\"]\nrenderers = 2\nrate = 200\ncalls = 10\n\
                      warm_calls = 5\ndeadline_ms = 1000\nwork_ms = 2\nslow_ms = 2000\nleaving_work_ms = 100\n\
                      leaves_after_ms = 50\nslack_ms = 100\n";
 
@@ -34,7 +34,7 @@
     let out = lab(&file, &slopes, &agent());
     let (text, errors) = (String::from_utf8_lossy(&out.stdout), String::from_utf8_lossy(&out.stderr));
     assert!(out.status.success(), "{errors}");
-    assert_eq!(text.matches("\n         4  median ").count(), 22, "{text}");
+    assert_eq!(text.matches("\n         4  median ").count(), 24, "{text}");
     assert!(text.contains("an application that tries a failed or refused call once more"), "{text}");
     let slopes: toml::Table =
         std::fs::read_to_string(&slopes).expect("slopes").parse().expect("slopes that can be read");
@@ -48,7 +48,9 @@
     for name in ["added_p50_ms", "added_p99_ms", "lab_p50_ms", "lab_p99_ms", "attempts_well"] {
         expected.push(format!("depth_{name}"));
     }
-    expected.extend(["depth_wasted_share".to_owned(), "depth_wasted_ms".to_owned()]);
+    for name in ["wasted_share", "wasted_ms", "lab_wasted_share", "lab_wasted_ms"] {
+        expected.push(format!("depth_{name}"));
+    }
     for name in &expected {
         let figure = figures.get(name).unwrap_or_else(|| panic!("{name} of {figures:?}"));
         assert_eq!((figure["from"].as_float(), figure["to"].as_float()), (Some(1.0), Some(4.0)), "{name}");
@@ -76,7 +78,7 @@
         ("\ncalls = 10", "\ncalls = -1", "bad.toml, line 6: "),
         ("\"refuse\"", "\"tired\"", "bad.toml: states holds \"tired\", some of well, lab, fail"),
         (
-            "[\"well\", \"lab\", \"fail\", \"fail_half\", \"fail_keyed\", \"refuse\", \"slow\", \"left\"]",
+            "[\"well\", \"lab\", \"fail\", \"fail_half\", \"fail_keyed\", \"refuse\", \"slow\", \"left\", \"left_lab\"]",
             "[]",
             "bad.toml: states is empty",
         ),
