--- a/lab/src/scale/renderer.rs
+++ b/lab/src/scale/renderer.rs
@@ -236,17 +236,14 @@
         ..Scaled::default()
     };
     let bar = ProgressBar::new((asked.repeats * asked.agents.len()) as u64);
-    let mut late = 0.0f64;
     for repeat in 0..asked.repeats {
         for &agents in &asked.agents {
             let seen = measure(&asked, agents, SEED + repeat as u64, program).await?;
-            late = late.max(seen.late_ms);
             take(&mut scaled, &asked, agents, &seen);
             bar.inc(1);
         }
     }
     bar.finish_and_clear();
-    scaled.notes.push(format!("the lab was late by {late:.2} ms at the 99th percentile in the worst play"));
     let most = asked.agents[asked.agents.len() - 1];
     scaled.notes.push(format!(
         "real agents alone, {most} at most: what lies beyond is extrapolated. Each sends {} requests a second over {} \
@@ -269,7 +266,11 @@
         }
     }
     let fell = if seen.fell { ", the cold renderer fell over" } else { "" };
-    scaled.notes.push(format!("{agents} agents: served {:.1}%{fell}", 100.0 * seen.served));
+    scaled.notes.push(format!(
+        "{agents} agents: served {:.1}%, the lab was late by {:.2} ms at the 99th percentile{fell}",
+        100.0 * seen.served,
+        seen.late_ms
+    ));
     if let Some(what) = &seen.problem {
         scaled.notes.push(format!("{agents} agents: a rule was broken: {what}"));
     }
