lab scale watchers: one source to thousands of hollow agents, with what it costs and how they return

Change: a source that makes each answer once, processes of hollow agents that hold the program's own drivers (for that bellcroft publishes Config, Driver and staff), and a test by size: time until a change is in force, bytes and processor time a change and at rest, and how all come back after an outage and after an hour's cut. The line of a file that is wrong is named in its error.

--- a/agent/src/lib.rs
+++ b/agent/src/lib.rs
@@ -18,5 +18,9 @@
 mod peers;
 mod process;
 mod renderers;
-mod staff;
+pub mod staff;
 mod traffic;
+
+// For hosts that hold many agents in one process, as the proving ground's scale tests do.
+pub use config::Config;
+pub use driver::Driver;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -49,6 +49,9 @@
     /// The bare relay
     #[command(hide = true)]
     Relay,
+    /// Hollow agents, for the scale tests
+    #[command(hide = true)]
+    Hollow(scale::hollow::Args),
 }
 
 #[derive(Args)]
@@ -190,11 +193,8 @@
         Command::Compare(args) => compare(&args),
         Command::Saturate(args) => saturate(&args),
         Command::Scale(which) => on_runtime(scale(which)),
-        Command::Relay => {
-            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-            let ended = runtime.map_err(|e| e.to_string()).and_then(|r| r.block_on(saturate::relay()));
-            ended.map(|()| HELD)
-        }
+        Command::Relay => on_thread(saturate::relay()),
+        Command::Hollow(args) => on_thread(scale::hollow::run(args)),
     };
     match done {
         Ok(code) => ExitCode::from(code),
@@ -205,6 +205,13 @@
     }
 }
 
+/// On this thread alone, as an agent runs.
+fn on_thread(work: impl std::future::Future<Output = Result<(), String>>) -> Result<u8, String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("cannot start the runtime: {e}"))?;
+    runtime.block_on(work).map(|()| HELD)
+}
+
 fn on_runtime(work: impl std::future::Future<Output = Result<u8, String>>) -> Result<u8, String> {
     // A play holds a listener for each pair of agent and renderer: as many descriptors as this process may have.
     let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile);
--- a/lab/src/scale/mod.rs
+++ b/lab/src/scale/mod.rs
@@ -3,8 +3,10 @@
 
 pub mod depth;
 pub mod fit;
+pub mod hollow;
 pub mod list;
 pub mod renderer;
+pub mod source;
 pub mod staff;
 pub mod watchers;
 
@@ -60,7 +62,8 @@
     toml::from_str(&text).map_err(|e| {
         // The error's own text draws a picture over several lines; a person wants one.
         let line = e.span().map_or(0, |span| text[..span.start.min(text.len())].matches('\n').count() + 1);
-        format!("{name}, line {line}: {}", e.message().replace('\n', " "))
+        let says = text.lines().nth(line.saturating_sub(1)).unwrap_or_default().trim();
+        format!("{name}, line {line} ({says:.80}): {}", e.message().replace('\n', " "))
     })
 }
 
@@ -75,6 +78,19 @@
     }
 }
 
+/// A value of a file's key within these bounds; the error names the file, the key and the value.
+pub fn check_value(file: Option<&Path>, key: &str, value: f64, least: f64, most: f64) -> Result<(), String> {
+    if (least..=most).contains(&value) {
+        return Ok(());
+    }
+    Err(format!("{}: {key} is {value}, {least} to {most} was expected", name(file)))
+}
+
+/// How the file of a scale test is called.
+pub fn name(file: Option<&Path>) -> String {
+    file.map_or_else(|| "built in".to_owned(), |file| file.display().to_string())
+}
+
 impl Scaled {
     /// A table of means and spreads by size, a slope for each figure, warnings and notes.
     pub fn table(&self) -> String {
--- a/lab/src/stage/processes.rs
+++ b/lab/src/stage/processes.rs
@@ -361,7 +361,7 @@
 
 /// The child dies with the lab, however that ends, and finds the inherited listener where it expects it.
 #[allow(unsafe_code)]
-fn bind_to_this(command: &mut Command, listener: Option<RawFd>) {
+pub fn bind_to_this(command: &mut Command, listener: Option<RawFd>) {
     let parent = rustix::process::getpid();
     let prepare = move || -> io::Result<()> {
         rustix::process::set_parent_process_death_signal(Some(Signal::KILL))?;
@@ -416,6 +416,17 @@
     Some(ticks / TICKS)
 }
 
+/// Processor time of a process so far, to the nanosecond, in seconds: of its threads that still run, or of its first one
+/// where it has ended and nobody has been told.
+pub fn cpu_exact_s(id: u32) -> Option<f64> {
+    let threads = std::fs::read_dir(format!("/proc/{id}/task")).ok()?;
+    let of = |thread: io::Result<std::fs::DirEntry>| {
+        let text = std::fs::read_to_string(thread.ok()?.path().join("schedstat")).ok()?;
+        text.split(' ').next()?.parse::<f64>().ok()
+    };
+    Some(threads.filter_map(of).sum::<f64>() / 1e9)
+}
+
 /// Memory that a process holds, in MB.
 pub fn memory_mb(id: u32) -> Option<f64> {
     let pages = std::fs::read_to_string(format!("/proc/{id}/statm")).ok()?;
