--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -205,27 +205,32 @@
             Err(format!("--agent {}: no program", named.display()))
         };
     }
+    beside("bellcroft").map_err(|why| format!("{why}, or name one with --agent"))
+}
+
+/// A program of this workspace beside the lab's own, built first where the lab was started by cargo.
+pub fn beside(name: &str) -> Result<PathBuf, String> {
     let own = std::env::current_exe().map_err(|e| format!("the lab does not find its own program: {e}"))?;
     // A test's program lies one folder deeper.
     let folder = own.parent().map(|f| if f.ends_with("deps") { f.parent().unwrap_or(f) } else { f });
-    let beside = folder.unwrap_or(Path::new(".")).join("bellcroft");
+    let beside = folder.unwrap_or(Path::new(".")).join(name);
     if let Some(cargo) =
         std::env::var_os("CARGO").filter(|_| !own.parent().is_some_and(|f| f.ends_with("deps")))
     {
         let root = Path::new(env!("CARGO_MANIFEST_DIR")).parent().unwrap_or(Path::new("."));
         let mut build = std::process::Command::new(cargo);
-        build.args(["build", "--quiet", "--locked", "--bin", "bellcroft"]).current_dir(root);
+        build.args(["build", "--quiet", "--locked", "--bin", name]).current_dir(root);
         if folder.is_some_and(|f| f.ends_with("release")) {
             build.arg("--release");
         }
-        let status = build.status().map_err(|e| format!("cargo cannot be run to build the agent: {e}"))?;
+        let status = build.status().map_err(|e| format!("cargo cannot be run to build {name}: {e}"))?;
         if !status.success() {
-            return Err(format!("the agent cannot be built: cargo build ended with {status}"));
+            return Err(format!("{name} cannot be built: cargo build ended with {status}"));
         }
     }
     if beside.is_file() {
         Ok(beside)
     } else {
-        Err(format!("{}: no such program; build it, or name one with --agent", beside.display()))
+        Err(format!("{}: no such program; build it first", beside.display()))
     }
 }
--- a/lab/src/scale/watchers.rs
+++ b/lab/src/scale/watchers.rs
@@ -17,8 +17,6 @@
 const WITHIN: Duration = Duration::from_secs(30);
 /// After the last agent has a change, its next call is under way within this.
 const SETTLED: Duration = Duration::from_millis(200);
-/// Between two changes.
-const APART: Duration = Duration::from_millis(500);
 
 /// The file of this test.
 #[derive(Debug, Deserialize)]
@@ -30,6 +28,7 @@
     agents_per_process: usize,
     rest_s: f64,
     changes: usize,
+    apart_s: f64,
     outage_s: f64,
     cut_s: f64,
     cut_servers: usize,
@@ -46,6 +45,7 @@
             ("agents_per_process", read.agents_per_process as f64, 1.0, 1000.0),
             ("rest_s", read.rest_s, 0.5, 60.0),
             ("changes", read.changes as f64, 1.0, 100.0),
+            ("apart_s", read.apart_s, 0.01, 10.0),
             ("outage_s", read.outage_s, 0.1, 60.0),
             ("cut_s", read.cut_s, 0.1, 60.0),
             ("cut_servers", read.cut_servers as f64, 1.0, 20_000.0),
@@ -57,7 +57,7 @@
 }
 
 /// Name, what it is, unit.
-const FIGURES: [(&str, &str, &str); 14] = [
+const FIGURES: [(&str, &str, &str); 15] = [
     ("watchers_in_force_s", "a change until the last agent has it, the worst of a run's changes", "s"),
     ("watchers_in_force_median_s", "a change until the median agent has it", "s"),
     ("watchers_source_bytes_per_change", "what the source sends for a change, in all", "bytes of HTTP"),
@@ -89,6 +89,7 @@
         "from the source's return after an hour's cut until the last has the whole list",
         "s",
     ),
+    ("watchers_return_source_bytes", "what the source sends for that return, in all", "bytes of HTTP"),
     ("watchers_return_source_cpu_s", "processor time of the source for that return", "s"),
     ("watchers_return_agent_cpu_s", "processor time of one hollow agent for that return", "s"),
     ("watchers_memory_bytes", "memory of one hollow agent", "bytes"),
@@ -145,6 +146,10 @@
         }
     }
 
+    fn apart(&self) -> Duration {
+        Duration::from_secs_f64(self.file.apart_s)
+    }
+
     fn note(&mut self, note: String) {
         self.scaled.notes.push(note);
     }
@@ -159,10 +164,21 @@
         hollows: &Hollows,
     ) {
         let cores = std::thread::available_parallelism().map_or(1, usize::from);
+        let processes = hollows.processes();
+        // What each of the cores that they share had to do for them.
+        let a_core = agents / processes.min(cores) as f64;
+        let pace = match () {
+            () if a_core.max(source) < last_s / 2.0 => {
+                "most of it was no work of either: pauses between calls, or what else ran here"
+            }
+            () if a_core > source => {
+                "the agents' shared cores set the pace: with a core each they are sooner"
+            }
+            () => "the source set the pace",
+        };
         self.note(format!(
             "at {size}, {what}: {last_s:.3} s until the last; over {wall:.2} s the source used {source:.3} s of processor \
-             and the agents {agents:.3} s in {} processes of one thread each on {cores} cores",
-            hollows.processes()
+             and the agents {agents:.3} s in {processes} processes of one thread each on {cores} cores; {pace}"
         ));
     }
 
@@ -176,7 +192,7 @@
         self.add("watchers_memory_bytes", size, hollows.bytes_each);
 
         // Once all of their first watches are under way.
-        sleep(APART).await;
+        sleep(self.apart()).await;
         let before = Used::by_now(&source, &hollows);
         sleep(Duration::from_secs_f64(self.file.rest_s)).await;
         let (wall, source_s, agents_s, sent, received) = Used::by_now(&source, &hollows).since(before);
@@ -206,7 +222,7 @@
         for change in 0..self.file.changes {
             let name = format!("change-{change}");
             let awaited = hollows.told(&name, WITHIN).await?;
-            sleep(APART).await;
+            sleep(self.apart()).await;
             let before = Used::by_now(source, hollows);
             let at = source.add(&name);
             let known = hollows.known(awaited).await?;
@@ -253,7 +269,7 @@
         let known = hollows.known(awaited).await?;
         let (wall, source_s, agents_s, ..) = Used::by_now(source, hollows).since(before);
         // The worst second may end after the last of them has the list.
-        sleep(Duration::from_secs(1)).await;
+        tokio::time::sleep_until(before.at + Duration::from_secs(1)).await;
         let rate = source.most_calls_a_second();
         match spread(&known, at) {
             Ok((_, last_s)) => {
@@ -294,6 +310,7 @@
         match spread(&known, at) {
             Ok((_, last_s)) => {
                 self.add("watchers_return_s", size, last_s);
+                self.add("watchers_return_source_bytes", size, sent);
                 self.add("watchers_return_source_cpu_s", size, source_s);
                 self.add("watchers_return_agent_cpu_s", size, agents_s / size as f64);
                 if last {
@@ -304,10 +321,6 @@
                         (wall, source_s, agents_s),
                         hollows,
                     );
-                    self.note(format!(
-                        "at {size}, back after an hour's cut: the source sent {:.1} MB",
-                        sent / 1e6
-                    ));
                 }
             }
             Err(never) => self.note(format!(
