A test that a killed lab scale leaves no hollow agent behind

Need: hollow agents are processes of the lab and must end with it, however that ends. Change: the small watchers file with a long rest, SIGTERM and SIGKILL, and a look through the processes. Measured: passes; with both guards taken out (the parent's death signal, the end of the lab's lines) it fails: agents were left behind after -TERM.

--- a/lab/tests/scale_watchers.rs
+++ b/lab/tests/scale_watchers.rs
@@ -3,7 +3,9 @@
 
 mod scaling;
 
-use scaling::{refuses, File};
+use scaling::{build, refuses, File};
+use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
 
 const SMALL: &str = "sizes = [2, 4, 6, 8]\nrepeats = 1\nservers = 5\nagents_per_process = 3\nrest_s = 0.5\n\
                      changes = 1\napart_s = 0.1\noutage_s = 0.2\ncut_s = 0.2\ncut_servers = 8\n";
@@ -42,6 +44,40 @@
     assert!(at("at_zero") + 8.0 * at("slope") >= 1.0, "{calls:?}");
 }
 
+/// Processes of hollow agents whose files are in this folder.
+fn hollow(folder: &str) -> usize {
+    let processes = std::fs::read_dir("/proc").expect("processes").flatten();
+    let told = processes.filter_map(|process| std::fs::read(process.path().join("cmdline")).ok());
+    let told = told.map(|words| String::from_utf8_lossy(&words).into_owned());
+    told.filter(|words| words.contains("hollow") && words.contains(folder)).count()
+}
+
+#[test]
+fn a_lab_that_is_killed_leaves_no_hollow_agent() {
+    build();
+    let file = File::new(&SMALL.replace("rest_s = 0.5", "rest_s = 60"));
+    let folder = tempfile::tempdir().expect("a folder");
+    let within = folder.path().to_str().expect("a path");
+    for signal in ["-TERM", "-KILL"] {
+        let mut lab = Command::new(env!("CARGO_BIN_EXE_lab"));
+        lab.args(["scale", "watchers"]).arg(file.path()).env("TMPDIR", within).env_remove("CARGO");
+        let mut child =
+            lab.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null()).spawn().expect("it runs");
+        let deadline = Instant::now() + Duration::from_secs(60);
+        while hollow(within) == 0 {
+            assert!(Instant::now() < deadline, "no agent came up");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        let sent = Command::new("kill").args([signal, &child.id().to_string()]).status().expect("kill runs");
+        assert!(sent.success());
+        child.wait().expect("a status");
+        while hollow(within) > 0 {
+            assert!(Instant::now() < deadline, "agents were left behind after {signal}");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+}
+
 #[test]
 fn a_wrong_file_is_named_with_its_key_and_value() {
     for (key, value) in [
