--- a/lab/src/scale/staff.rs
+++ b/lab/src/scale/staff.rs
@@ -264,11 +264,11 @@
     let at = file.planned;
     for figure in &figures {
         if let Ok(fit) = fit(&figure.points) {
-            let value = fit.at_zero + fit.slope * at as f64;
+            let value = super::short(fit.at_zero + fit.slope * at as f64);
             let far = at as f64 / fit.to;
             let (name, unit, most) = (figure.name, figure.unit, fit.to);
             notes.push(format!(
-                "{name} at {at} would be {value:.3} {unit}, extrapolated {far:.0} times past {most}"
+                "{name} at {at} would be {value} {unit}, extrapolated {far:.0} times past {most}"
             ));
         }
     }
--- a/lab/src/scale/watchers.rs
+++ b/lab/src/scale/watchers.rs
@@ -349,7 +349,7 @@
         test.file.servers, test.file.cut_servers, test.file.agents_per_process
     ));
     test.note(
-        "bytes are HTTP's own; TCP and IP add some 52 bytes to each segment. An hour's cut is played as a short one after \
+        "bytes are HTTP's own, and the source's answers have a type and a length as their only headers; TCP and IP add some 52 bytes to each segment. An hour's cut is played as a short one after \
          which the source counts a version far ahead and has another list: an agent's pauses between calls are those of a \
          short cut"
             .into(),
