lab scale watchers: say before the start where the descriptors do not allow a size

Need: at a size past the descriptors the source could not accept, spun on it, and the agents were given up after a minute.

--- a/lab/src/scale/source.rs
+++ b/lab/src/scale/source.rs
@@ -238,13 +238,14 @@
             },
         };
         loop {
-            tokio::select! {
-                accepted = here.accept() => {
-                    if let Ok((stream, _)) = accepted {
-                        tokio::spawn(connection(shared.clone(), stream));
-                    }
-                }
+            let accepted = tokio::select! {
+                accepted = here.accept() => accepted,
                 _ = up.wait_for(|up| !up) => break,
+            };
+            match accepted {
+                Ok((stream, _)) => drop(tokio::spawn(connection(shared.clone(), stream))),
+                // No descriptor is free: one may be soon.
+                Err(_) => tokio::time::sleep(Duration::from_millis(1)).await,
             }
         }
         drop(here);
--- a/lab/src/scale/watchers.rs
+++ b/lab/src/scale/watchers.rs
@@ -13,6 +13,8 @@
 
 /// More have no room: each takes a descriptor here and one of its own, and half a megabyte.
 const AGENTS_MOST: usize = 10_000;
+/// Descriptors of the lab that are not agents'.
+const SPARE: usize = 200;
 /// What is not in force by then is not measured.
 const WITHIN: Duration = Duration::from_secs(30);
 /// After the last agent has a change, its next call is under way within this.
@@ -39,6 +41,12 @@
         let read: File = super::read(file, include_str!("../../scales/watchers.toml"))?;
         check_sizes("sizes", &read.sizes, AGENTS_MOST)
             .map_err(|why| format!("{}: {why}", super::name(file)))?;
+        let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+        let room = limit.map_or(usize::MAX, |limit| (limit as usize).saturating_sub(SPARE));
+        if let Some(size) = read.sizes.iter().find(|&&size| size > room) {
+            let name = super::name(file);
+            return Err(format!("{name}: sizes holds {size}, the descriptors of this process allow {room}"));
+        }
         for (key, value, least, most) in [
             ("repeats", read.repeats as f64, 1.0, 10.0),
             ("servers", read.servers as f64, 1.0, 20_000.0),
