--- a/lab/src/stage/processes.rs
+++ b/lab/src/stage/processes.rs
@@ -361,7 +361,7 @@
 
 /// The child dies with the lab, however that ends, and finds the inherited listener where it expects it.
 #[allow(unsafe_code)]
-pub(crate) fn bind_to_this(command: &mut Command, listener: Option<RawFd>) {
+pub fn bind_to_this(command: &mut Command, listener: Option<RawFd>) {
     let parent = rustix::process::getpid();
     let prepare = move || -> io::Result<()> {
         rustix::process::set_parent_process_death_signal(Some(Signal::KILL))?;
@@ -419,7 +419,8 @@
 /// What the scheduler says of a process.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Scheduled {
-    /// Processor time of its threads that still run, in seconds, to the nanosecond and not to a clock tick.
+    /// Processor time of its threads that still run, in seconds, to the nanosecond and not to a clock tick; of its first
+    /// one where it has ended and nobody has been told.
     pub ran_s: f64,
     /// How long they stood ready without a core, in seconds.
     pub waited_s: f64,
@@ -427,14 +428,15 @@
 
 /// Of a process by its number; `None` where the system does not tell.
 pub fn scheduled(id: u32) -> Option<Scheduled> {
-    let mut all = Scheduled::default();
-    for task in std::fs::read_dir(format!("/proc/{id}/task")).ok()? {
-        let text = std::fs::read_to_string(task.ok()?.path().join("schedstat")).ok()?;
+    let threads = std::fs::read_dir(format!("/proc/{id}/task")).ok()?;
+    // A thread may end meanwhile.
+    let of = |thread: io::Result<std::fs::DirEntry>| {
+        let text = std::fs::read_to_string(thread.ok()?.path().join("schedstat")).ok()?;
         let mut ns = text.split_whitespace().map(str::parse::<f64>);
-        all.ran_s += ns.next()?.ok()? / 1e9;
-        all.waited_s += ns.next()?.ok()? / 1e9;
-    }
-    Some(all)
+        Some((ns.next()?.ok()?, ns.next()?.ok()?))
+    };
+    let (ran, waited) = threads.filter_map(of).fold((0.0, 0.0), |all, one| (all.0 + one.0, all.1 + one.1));
+    Some(Scheduled { ran_s: ran / 1e9, waited_s: waited / 1e9 })
 }
 
 /// Memory that a process holds, in MB.
