Ask again within the time in which news count as told, however many calls have failed

Cause: where lists are asked for, the pause after failed calls doubled up to askWithinMs and half more (6.19 s seen on real connections), past the 6 s after which what discovery has counts as told. Change: pauses after failed calls are 3.3 s at their mean, 5 s at most.

--- a/src/api.rs
+++ b/src/api.rs
@@ -566,6 +566,11 @@
     pub suspect: bool,
 }
 
+/// The longest pause after a call for the list that failed, at its mean, which is spread over a half to one and a half of
+/// it: with a second for the next call it is over before what discovery has counts as told, 6 s after it could be reached
+/// (the operators' standing page).
+pub(crate) const ASK_MOST: Span = Span((6_000_000 - 1_000_000) * 2 / 3);
+
 /// News of the server list.
 #[derive(Debug, Clone, PartialEq)]
 pub enum ListUpdate {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -476,11 +476,9 @@
     }
 
     /// Fresh uniform draws from the servers that are ready for the request, and the remembered ones that are.
-    /// Where a crossing has a price, as many come from the own zone: of three draws in many zones often none
-    /// is near, although an idle one is there. Which is lightest of all is not touched by where it was drawn.
-    /// In a jam any room counts.
-    /// Draws are by rejection, four tries each, so that a pick costs the same in a large fleet; only if all
-    /// fail is each server looked at, of a large fleet `LOOKS`, and those that were tried before come last.
+    /// Where a crossing has a price, as many come from the own zone, which three draws often miss. Which is
+    /// lightest is not touched by where it was drawn. In a jam any room counts. Draws are by rejection, four
+    /// tries each; only if all fail is each server looked at (`LOOKS`), and those tried before come last.
     fn candidates(&mut self, now: Time, ask: &Pick) -> Vec<usize> {
         let owed = self.untried.due(now).take(TRIES_MOST as usize).find(|i| self.ready(now, *i, ask));
         if let Some(untried) = owed {
@@ -903,8 +901,11 @@
             ListUpdate::Failed | ListUpdate::Senseless => {
                 let jitter = 0.5 + self.rng.f64();
                 self.ask_at = Some(now + self.ask_pause * jitter);
-                let alike = update == ListUpdate::Failed && self.settings.discovery == Discovery::Pushed;
-                self.ask_pause = self.settings.ask_within.min(self.ask_pause * if alike { 1.0 } else { 2.0 });
+                let failed = update == ListUpdate::Failed;
+                let longer = if failed && self.settings.discovery == Discovery::Pushed { 1.0 } else { 2.0 };
+                // Of a crowd each waits for its turn.
+                let most = if failed && self.ask_round() <= ASK_MOST { ASK_MOST } else { Span(u64::MAX) };
+                self.ask_pause = (self.ask_pause * longer).min(most).min(self.settings.ask_within);
                 return;
             }
             ListUpdate::Part(lines) | ListUpdate::Changes(lines) => (lines, false),
