lab scale: name the worst factor a hop, and test the cold window

Change: notes name the worst tenth of the calls with its factor a hop; a test of the window that a cold renderer keeps.

--- a/lab/src/renderer/tests.rs
+++ b/lab/src/renderer/tests.rs
@@ -96,6 +96,26 @@
     assert!((0..100).all(|n| renderer.arrive(1, n, 100_000.0, 0, u64::MAX).is_ok()));
 }
 
+#[test]
+fn a_cold_one_keeps_its_worst_window_until_it_starts_again() {
+    let mut renderer = Renderer::warm(Spec { slots: 1000, ..spec() }, rule());
+    assert!((0..5).all(|n| renderer.arrive(n, n, 100_000.0, 0, u64::MAX).is_ok()));
+    assert_eq!(renderer.cold_most, None, "a warm one has none");
+    renderer.crash(10);
+    assert!(renderer.start(20));
+    // Six at once, and two that share no window with them.
+    for (at, n) in [(30, 6), (5_000_000, 2)] {
+        assert!((0..n).all(|n| renderer.arrive(at, n, 100_000.0, 0, u64::MAX).is_ok()));
+    }
+    let worst = renderer.cold_most.expect("a window");
+    assert_eq!(worst.requests, 6);
+    // 4 * 0.4 * 1.5 s of work is 24 requests of 0.1 s; 24 + 2 root 24 + 2 are 35.8.
+    assert!((worst.borne - 24.0).abs() < 0.1 && (worst.allowed() - 35.8).abs() < 0.1, "{worst:?}");
+    renderer.crash(6_000_000);
+    assert!(renderer.start(7_000_000));
+    assert_eq!(renderer.cold_most, None);
+}
+
 #[test]
 fn standing_still_delays_and_slowness_stretches() {
     let mut renderer = Renderer::warm(spec(), rule());
--- a/lab/src/scale/depth.rs
+++ b/lab/src/scale/depth.rs
@@ -208,7 +208,10 @@
 }
 
 const LOOKS: [Look; 9] = [
-    look!("well", State::Well, SAFE, "is well"),
+    Look {
+        attempts: ("depth_attempts_well", "attempts at the deepest for a call while it is well"),
+        ..look!("well", State::Well, SAFE, "is well")
+    },
     Look { agents: false, ..look!("lab", State::Well, SAFE, "is well, without agents") },
     look!("fail", State::Fails, SAFE, "fails"),
     look!("refuse", State::Refuses, SAFE, "refuses"),
@@ -723,11 +726,12 @@
 /// What is to be known beside the figures.
 fn conclude(scaled: &mut Scaled, asked: &Asked, late: f64) {
     for look in LOOKS {
-        let (name, _) = look.factor;
+        let (name, _) = look.worst;
         let Some(figure) = scaled.figures.iter().find(|figure| figure.name == name) else { continue };
         let worst = figure.points.iter().max_by(|a, b| a.value.total_cmp(&b.value));
         let Some(Point { size, value }) = worst else { continue };
-        scaled.notes.push(format!("{name}: at most {value:.3} a hop, at {size}"));
+        let factor = value.powf(1.0 / size);
+        scaled.notes.push(format!("{name}: at most {value:.2} a call, at {size}: {factor:.3} a hop"));
     }
     let deepest = asked.depths[asked.depths.len() - 1];
     scaled.notes.push(format!(
