--- a/agent/tests/lists.rs
+++ b/agent/tests/lists.rs
@@ -172,3 +172,49 @@
     assert_eq!(told, 8);
     assert_eq!(agent.get("/read").await.body, b"known");
 }
+
+/// Several agents take in the list of the planned size from one discovery, which first breaks off in the middle of it and then
+/// leaves out what they knew: each serves all the while, and each follows at the end.
+#[tokio::test]
+async fn agents_serve_while_a_discovery_that_breaks_off_tells_them_all_of_a_large_fleet() {
+    let old = Backend::start(|_| Reply::Bytes(ok("old"))).await;
+    let new = Backend::start(|_| Reply::Bytes(ok("new"))).await;
+    let hosts: Vec<Value> = (0..PLANNED).map(|n| entry(n, new.address, "up")).collect();
+    let text = answer(2, true, &hosts);
+    let torn = half(&text[..text.len() / 2], text.len() - text.len() / 2);
+    let mut directory = Directory::start(torn).await;
+    let mut agents = Vec::new();
+    for _ in 0..3 {
+        let known = [host("old", old.address, "up")];
+        agents.push(Agent::with(pushed(directory.address, &known), |_| {}).await);
+    }
+    let mut broke_off = Vec::new();
+    for agent in &mut agents {
+        broke_off.push(agent.says("failed after").await);
+        assert_eq!(agent.get("/read").await.body, b"old", "half a list adds nothing");
+    }
+    assert!(broke_off.iter().all(|line| line.contains("no ")), "{broke_off:?}");
+    directory.mood.send_replace(Mood::List(serde_json::from_str(&text).expect("a list")));
+    let mut follow = 0;
+    let all_follow = async {
+        while follow < agents.len() {
+            follow += usize::from(directory.next_call().await.contains("after=2&"));
+        }
+    };
+    let serve = async {
+        loop {
+            for agent in &agents {
+                assert_eq!(agent.get("/read").await.status(), 200);
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::select! {
+        () = soon("the watches of all agents", all_follow) => {}
+        () = serve => {}
+    }
+    // Two of these calls may have been one agent's.
+    for agent in &agents {
+        soon("the new list", async { while agent.get("/read").await.body != b"new" {} }).await;
+    }
+}
