--- a/lab/tests/scale_depth.rs
+++ b/lab/tests/scale_depth.rs
@@ -1,7 +1,10 @@
 //! `lab scale depth` as a process: a small file is measured whole, and bad ones are told in a line.
-#![allow(missing_docs)]
+#![allow(missing_docs, dead_code)]
 
-use std::path::{Path, PathBuf};
+mod scaling;
+
+use scaling::agent;
+use std::path::Path;
 use std::process::{Command, Output, Stdio};
 
 const SMALL: &str =
@@ -10,16 +13,6 @@
                      warm_calls = 5\ndeadline_ms = 1000\nwork_ms = 2\nslow_ms = 2000\nleaving_work_ms = 100\n\
                      leaves_after_ms = 50\nslack_ms = 100\n";
 
-/// The agent as it is now, built beside this test.
-fn agent() -> PathBuf {
-    let root = Path::new(env!("CARGO_MANIFEST_DIR")).parent().expect("the workspace");
-    let mut build = Command::new(env!("CARGO"));
-    build.args(["build", "--quiet", "--locked", "--bin", "bellcroft"]).current_dir(root);
-    assert!(build.status().expect("cargo runs").success());
-    let own = std::env::current_exe().expect("a program");
-    own.parent().and_then(Path::parent).expect("a folder").join("bellcroft")
-}
-
 fn lab(file: &Path, slopes: &Path, agent: &Path) -> Output {
     let mut command = Command::new(env!("CARGO_BIN_EXE_lab"));
     command.args(["scale", "depth"]).arg(file).arg("--slopes").arg(slopes).arg("--agent").arg(agent);
@@ -74,8 +67,8 @@
         ("[1, 2, 3, 4]", "[1, 3, 2, 4]", "bad.toml: depths is [1, 3, 2, 4], 4 rising sizes"),
         ("[1, 2, 3, 4]", "[1, 2, 3, 400]", "bad.toml: depths holds 400, at most 64 was expected"),
         ("slow_ms = 2000", "slow_ms = 200", "bad.toml: slow_ms is 200, 1000 to 60000 was expected"),
-        ("rate = 200", "rates = 200", "bad.toml, line 5: unknown field `rates`"),
-        ("\ncalls = 10", "\ncalls = -1", "bad.toml, line 6: "),
+        ("rate = 200", "rates = 200", "bad.toml, line 5 (rates = 200): unknown field `rates`"),
+        ("\ncalls = 10", "\ncalls = -1", "bad.toml, line 6 (calls = -1): "),
         ("\"refuse\"", "\"tired\"", "bad.toml: states holds \"tired\", some of well, lab, fail"),
         (
             "[\"well\", \"lab\", \"fail\", \"fail_half\", \"fail_keyed\", \"refuse\", \"slow\", \"left\", \"left_lab\"]",
--- a/lab/tests/scale_list.rs
+++ b/lab/tests/scale_list.rs
@@ -1,19 +1,12 @@
 //! `lab scale list` as a process, with the real agent and few servers.
-#![allow(missing_docs)]
+#![allow(missing_docs, dead_code)]
 
+mod scaling;
+
+use scaling::agent;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output, Stdio};
 
-/// The agent as it is now: a test of this package alone would find one of an earlier day, or none.
-fn agent() -> PathBuf {
-    let root = Path::new(env!("CARGO_MANIFEST_DIR")).parent().expect("the workspace");
-    let mut build = Command::new(env!("CARGO"));
-    build.args(["build", "--quiet", "--locked", "--bin", "bellcroft"]).current_dir(root);
-    assert!(build.status().expect("cargo runs").success());
-    let own = std::env::current_exe().expect("a program");
-    own.parent().and_then(Path::parent).expect("a folder").join("bellcroft")
-}
-
 /// However busy the machine, there is a figure: how late the lab is is not judged here.
 const SMALL: &str = "sizes = [4, 8, 16, 32]\nrepeats = 1\nrate = 79.0\nchanges = 24.0\ndense = 100.0\nbalancers = 300\n\
                      zones = 5\nzone = 8\nidle_s = 0.2\nquiet_s = 0.3\nchanges_s = 0.2\nstill_s = 0.2\nzone_s = 0.3\n\
--- a/lab/tests/scale_renderer.rs
+++ b/lab/tests/scale_renderer.rs
@@ -1,22 +1,15 @@
 //! `lab scale renderer` as a process: a small file is measured whole, and bad ones are told in a line.
-#![allow(missing_docs)]
+#![allow(missing_docs, dead_code)]
 
-use std::path::{Path, PathBuf};
+mod scaling;
+
+use scaling::agent;
+use std::path::Path;
 use std::process::{Command, Output, Stdio};
 
 const SMALL: &str = "agents = [1, 2, 3, 4]\nrepeats = 1\nrenderers = 2\nrate = 10\nload = 0.3\nidle_s = 5\n\
                      settle_s = 0.3\nsteady_s = 0.6\naway_s = 0.2\ncold_s = 1\n";
 
-/// The agent as it is now, built beside this test.
-fn agent() -> PathBuf {
-    let root = Path::new(env!("CARGO_MANIFEST_DIR")).parent().expect("the workspace");
-    let mut build = Command::new(env!("CARGO"));
-    build.args(["build", "--quiet", "--locked", "--bin", "bellcroft"]).current_dir(root);
-    assert!(build.status().expect("cargo runs").success());
-    let own = std::env::current_exe().expect("a program");
-    own.parent().and_then(Path::parent).expect("a folder").join("bellcroft")
-}
-
 fn lab(file: &Path, slopes: &Path, agent: &Path) -> Output {
     let mut command = Command::new(env!("CARGO_BIN_EXE_lab"));
     command.args(["scale", "renderer"]).arg(file).arg("--slopes").arg(slopes).arg("--agent").arg(agent);
@@ -68,7 +61,7 @@
         ("[1, 2, 3, 4]", "[1, 2, 3]", "bad.toml: agents is [1, 2, 3], 4 rising sizes over 0 were expected"),
         ("[1, 2, 3, 4]", "[0, 1, 2, 4]", "bad.toml: agents is [0, 1, 2, 4], 4 rising sizes"),
         ("[1, 2, 3, 4]", "[1, 2, 3, 301]", "bad.toml: agents holds 301, at most 300 was expected"),
-        ("load = 0.3", "loads = 0.3", "bad.toml, line 5: unknown field `loads`"),
+        ("load = 0.3", "loads = 0.3", "bad.toml, line 5 (loads = 0.3): unknown field `loads`"),
         ("cold_s = 1\n", "", "missing field `cold_s`"),
     ] {
         assert!(SMALL.contains(from), "{from}");
--- a/lab/tests/scaling/mod.rs
+++ b/lab/tests/scaling/mod.rs
@@ -15,6 +15,14 @@
     });
 }
 
+/// The agent beside the lab, as it is now.
+#[allow(dead_code)]
+pub fn agent() -> PathBuf {
+    build();
+    let own = std::env::current_exe().expect("a program");
+    own.parent().and_then(Path::parent).expect("a folder").join("bellcroft")
+}
+
 /// A file for the lab, gone with its folder.
 pub struct File {
     folder: tempfile::TempDir,
