--- a/review/standins/src/agent.rs
+++ b/review/standins/src/agent.rs
@@ -147,6 +147,11 @@
         fs::rename(&new, &self.config).expect("configuration");
     }
 
+    /// The id of its process.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Whether the process has ended by itself.
     pub fn has_ended(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(_)))
