--- a/review/standins/src/bin/stalled_uploads.rs
+++ b/review/standins/src/bin/stalled_uploads.rs
@@ -19,11 +19,13 @@
 /// A quarter of them hang, from the moment when clients begin to send until the end.
 const HANGING: usize = 3;
 const WAVES: usize = 4;
-const UPLOADS_IN_A_WAVE: usize = 12;
-/// The bodies are this long: more than the systems' buffers between agent and renderer take, and not so much more that
-/// the rest doesn't fit into those between client and agent.
-const SHORTEST: usize = 4_080_000;
-const LONGEST: usize = 4_480_000;
+const UPLOADS_IN_A_WAVE: usize = 20;
+/// How long the bodies are: more than the system's buffers between agent and renderer take, and not so much more that
+/// the rest doesn't fit into those between client and agent. Most are as long as it takes with the usual buffers of
+/// Linux, the others (`SPREAD_IN_A_WAVE`) are spread over a wider range, for a machine with other ones.
+const LENGTHS: (f64, f64) = (4_080_000.0, 4_480_000.0);
+const SPREAD_IN_A_WAVE: usize = 8;
+const SPREAD_LENGTHS: (f64, f64) = (2_700_000.0, 6_500_000.0);
 /// Dispatch: eight tenths of its 1.5 s.
 const TIMEOUT_MS: u64 = 1_200;
 /// A final answer that comes up to half a second after the client's time is late, and not lost.
@@ -88,9 +90,10 @@
     let begin = Instant::now() + ms(100.0);
     let mut uploads = Vec::new();
     for wave in 0..WAVES {
-        for _ in 0..UPLOADS_IN_A_WAVE {
+        for index in 0..UPLOADS_IN_A_WAVE {
             let (id, record) = (format!("{:016x}", rng.next()), record.clone());
-            let length = rng.between(SHORTEST as f64, LONGEST as f64) as usize;
+            let (shortest, longest) = if index < SPREAD_IN_A_WAVE { SPREAD_LENGTHS } else { LENGTHS };
+            let length = rng.between(shortest, longest) as usize;
             // The waves follow each other slowly, so that the agent has memory for all bodies.
             let at = begin + ms(3_500.0 * wave as f64 + rng.between(0.0, 60.0));
             uploads.push(std::thread::spawn(move || upload(address, id, at, length, &record)));
