Log: how far a long body has come, and what is unanswered when SIGKILL may come

A request that was lost at SIGKILL left no line, and one that its client gave up said "gone ... sent=1" only, whether the client, the agent or the server held it up.

Added: `body` in the lines of the target `request` (bytes read, and whether an attempt waits for the client or no server has taken more, and for how long), and one line of the target `process` with the number of unanswered requests and of uploads among them, when the time to answer after SIGTERM is over.

--- a/agent/src/driver/mod.rs
+++ b/agent/src/driver/mod.rs
@@ -441,6 +441,15 @@
         self.state.borrow().servers.has_serving()
     }
 
+    /// Logs how many requests have no final response, if there are any.
+    pub fn log_unanswered(&self) {
+        let state = self.state.borrow();
+        let (requests, uploads) = (state.requests.len(), state.requests.uploads());
+        if requests > 0 {
+            tracing::warn!(target: "process", requests, uploads, "requests are unanswered, and the process may be killed");
+        }
+    }
+
     /// Whether this process accepts client connections and any server accepts requests.
     pub fn is_serving(&self) -> bool {
         self.is_accepting.get() && self.is_ready()
--- a/agent/src/driver/requests.rs
+++ b/agent/src/driver/requests.rs
@@ -105,6 +105,17 @@
         self.pending.contains_key(&id)
     }
 
+    /// The number of requests without a final response.
+    pub fn len(&self) -> usize {
+        self.pending.len()
+    }
+
+    /// The number of requests without a final response whose streamed body is not complete.
+    pub fn uploads(&self) -> usize {
+        let bodies = self.pending.values().filter_map(|request| request.client_request.streamed_body());
+        bodies.filter(|body| body.completed_at().is_none()).count()
+    }
+
     /// Whether receiving the streamed body of a pending request has failed.
     pub fn has_body_failed(&self, id: RequestId) -> bool {
         let body = self.pending.get(&id).and_then(|request| request.client_request.streamed_body());
@@ -218,6 +229,7 @@
         let class = names.classes.get(client_request.class.0).map_or("", String::as_str);
         let took_ms = rounded_ms(now.saturating_duration_since(client_request.arrived_at));
         let of_ms = rounded_ms(client_request.response_timeout());
+        let body = client_request.streamed_body().map(|body| body.progress().to_string());
         macro_rules! log_line {
             ($level:ident, $outcome:literal) => {
                 tracing::$level!(
@@ -231,6 +243,7 @@
                     of_ms,
                     sent = metrics.attempts,
                     tried = describe_attempts(failed_attempts),
+                    body,
                     $outcome
                 )
             };
--- a/agent/src/process.rs
+++ b/agent/src/process.rs
@@ -30,7 +30,7 @@
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
-use tokio::time::{sleep, timeout, timeout_at, Instant};
+use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
 
 /// File descriptors for files, discovery and the runtime, which neither the application nor the servers may use.
 const RESERVED_DESCRIPTORS: usize = 24;
@@ -180,6 +180,11 @@
         let terminated_at = Instant::now();
         let answer_by = self.shutdown_times.answer_by(terminated_at);
         let give_up_at = self.shutdown_times.give_up_at(terminated_at);
+        let driver = self.driver.clone();
+        tokio::task::spawn_local(async move {
+            sleep_until(answer_by + FLUSH_TIME).await;
+            driver.log_unanswered();
+        });
         if self.is_listener_shared {
             // The new process accepts the connections in the listen queue, or the one after it does: the platform keeps
             // the socket open.
--- a/agent/src/traffic/request_body.rs
+++ b/agent/src/traffic/request_body.rs
@@ -1,8 +1,10 @@
 //! The stream of a request body that is too long to be buffered: its chunks pass from the client to the attempt in
 //! flight. The next chunk is read when the last one has been taken.
 
+mod progress;
 mod reader;
 
+pub use progress::BodyProgress;
 pub use reader::{BodyError, MAX_REQUEST_BODY_BYTES};
 
 use crate::traffic::body_deadline::{BodyDeadline, STALL_TIMEOUT};
@@ -159,6 +161,17 @@
         self.reader.borrow().unread_time()
     }
 
+    /// How much of the body has been read, for the log.
+    pub fn progress(&self) -> BodyProgress {
+        let reader = self.reader.borrow();
+        BodyProgress {
+            bytes_read: reader.bytes_read(),
+            length: self.length,
+            unpolled_time: reader.paused_since().map(|since| since.elapsed()),
+            is_complete: self.completed_at().is_some(),
+        }
+    }
+
     /// When the client had sent the last byte; `None` if the body is not complete.
     pub fn completed_at(&self) -> Option<Instant> {
         match *self.state.borrow() {
--- a/agent/src/traffic/request_body/reader.rs
+++ b/agent/src/traffic/request_body/reader.rs
@@ -85,6 +85,11 @@
         self.prefix.clone()
     }
 
+    /// The bytes that have been read, including the prefix.
+    pub fn bytes_read(&self) -> u64 {
+        self.bytes_read
+    }
+
     /// Whether any byte has been read.
     pub fn has_read(&self) -> bool {
         self.bytes_read > 0
