Shutdown: an upload in transfer is answered before SIGKILL, like every request

Cause: Lifecycle::wait_until_answer_due left out bodies that were still arriving. It looked at a body once, when the time to answer was over (2.02 s there), and waited for ever if it was incomplete. Only the client's own time was left then, which counts from the last byte and ended after SIGKILL.

Nothing waited for memory, and each request was sent at once.

Fix: the limit holds for every request, whatever it does. The handler then has the balancer answer it (the event AnswerDue): rejected if no attempt was written completely, and nothing more of it is written. What its client still sends is read and discarded. No part of the limit depends on a client or a renderer any more.

--- a/agent/src/downstream/body_reader.rs
+++ b/agent/src/downstream/body_reader.rs
@@ -115,7 +115,7 @@
         let reservation = tokio::select! {
             biased;
             reservation = timeout_at(due, reservation) => reservation.ok().and_then(Result::ok),
-            () = self.lifecycle.wait_until_answer_due(None) => None,
+            () = self.lifecycle.wait_until_answer_due() => None,
         };
         let reservation = reservation.ok_or(RequestError::NoBodyMemory)?;
         Ok(GrantedMemory { reservation, waited: started.elapsed() })
--- a/agent/src/downstream/handler.rs
+++ b/agent/src/downstream/handler.rs
@@ -6,6 +6,7 @@
 use crate::downstream::request_head::{header_text, RequestHead};
 use crate::downstream::responses::{answer_response, error_response, text_response};
 use crate::driver::client_request::ClientRequest;
+use crate::driver::requests::FinalResponse;
 use crate::driver::{Driver, RESPONSE_DELIVERY_TURNS};
 use crate::traffic::body_deadline::BodyDeadline;
 use crate::traffic::connection_timer::{yield_turns, StartedRequest};
@@ -20,7 +21,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::Semaphore;
+use tokio::sync::{oneshot, Semaphore};
 use tokio::time::{sleep_until, Instant};
 
 /// The balancer ends each request by its deadline. If it does not, the agent does so this long after the deadline.
@@ -177,29 +178,34 @@
             client_request.response_timeout(),
             client_request.streamed_body().cloned(),
         );
-        let (id, answer) = self.driver.submit(client_request);
+        let (id, mut answer) = self.driver.submit(client_request);
         // When the client disconnects, hyper drops this future, and this guard notifies the balancer.
         let _pending = PendingRequest { driver: &self.driver, id };
-        let response = tokio::select! {
+        let answer = tokio::select! {
             // A body that fails also ends its attempt. Polled first, so that the client gets the cause of the failure.
             biased;
             error = wait_for_body_error(body.as_deref()) => return error_response(error.into()),
-            answer = answer => answer.map_or_else(
-                |_| text_response(StatusCode::BAD_GATEWAY, "no answer was decided"),
-                answer_response,
-            ),
-            () = wait_until_overdue(body.as_deref(), deadline, timeout) => {
-                text_response(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
-            }
-            () = self.lifecycle.wait_until_answer_due(body.as_deref()) => {
-                text_response(StatusCode::GATEWAY_TIMEOUT, "the agent ends")
-            }
+            answer = &mut answer => answer.ok(),
+            () = wait_until_overdue(body.as_deref(), deadline, timeout) => self.answer_now(id, answer),
+            () = self.lifecycle.wait_until_answer_due() => self.answer_now(id, answer),
         };
+        let response = answer
+            .map_or_else(|| text_response(StatusCode::BAD_GATEWAY, "no answer was decided"), answer_response);
         if let Some(body) = body.filter(|body| body.completed_at().is_none()) {
             tokio::task::spawn_local(body.discard());
         }
         response
     }
+
+    /// Has the balancer answer a request now, and returns the answer.
+    fn answer_now(
+        &self,
+        id: RequestId,
+        mut answer: oneshot::Receiver<FinalResponse>,
+    ) -> Option<FinalResponse> {
+        self.driver.answer_now(id);
+        answer.try_recv().ok()
+    }
 }
 
 async fn wait_for_body_error(body: Option<&RequestBodyStream>) -> BodyError {
--- a/agent/src/downstream/lifecycle.rs
+++ b/agent/src/downstream/lifecycle.rs
@@ -1,6 +1,5 @@
 //! The lifecycle of the process: whether it keeps serving its connections, and by when it must have answered.
 
-use crate::traffic::request_body::RequestBodyStream;
 use tokio::sync::watch;
 use tokio::time::{sleep_until, Instant};
 
@@ -64,17 +63,12 @@
         *self.answer_by.borrow()
     }
 
-    /// Waits until a request must be answered because the process may be killed soon after. Waits forever if `body` is
-    /// still arriving at that time, as such a request need not be answered yet.
-    pub async fn wait_until_answer_due(&self, body: Option<&RequestBodyStream>) {
+    /// Waits until every request must be answered, however far it has come, because the process may be killed soon after.
+    pub async fn wait_until_answer_due(&self) {
         let mut answer_by = self.answer_by.subscribe();
-        let due = answer_by.wait_for(Option::is_some).await.ok().and_then(|due| *due);
-        if let Some(due) = due {
-            sleep_until(due).await;
-            if body.is_none_or(|body| body.completed_at().is_some()) {
-                return;
-            }
+        match answer_by.wait_for(Option::is_some).await.ok().and_then(|due| *due) {
+            Some(due) => sleep_until(due).await,
+            None => std::future::pending().await,
         }
-        std::future::pending().await
     }
 }
--- a/agent/src/driver/attempts.rs
+++ b/agent/src/driver/attempts.rs
@@ -49,15 +49,27 @@
         }
     }
 
+    /// Whether any of a request's `attempt_count` attempts is in flight and completely written: its server may have
+    /// executed it.
+    pub fn may_have_executed(&self, request: RequestId, attempt_count: u32) -> bool {
+        self.of_request(request, attempt_count).any(|progress| progress.may_have_executed())
+    }
+
     /// Cancels those of a request's `attempt_count` attempts that are not completely written: the server cannot have
     /// executed them.
     pub fn cancel_unwritten(&self, request: RequestId, attempt_count: u32) {
-        for number in 0..attempt_count {
-            let id = AttemptId { request, number: AttemptNo(number) };
-            if let Some(progress) = self.0.get(&id).filter(|progress| !progress.may_have_executed()) {
-                progress.cancel();
-            }
-        }
+        let attempts = self.of_request(request, attempt_count);
+        attempts.filter(|progress| !progress.may_have_executed()).for_each(|progress| progress.cancel());
+    }
+
+    /// Those of a request's `attempt_count` attempts that are in flight.
+    fn of_request(
+        &self,
+        request: RequestId,
+        attempt_count: u32,
+    ) -> impl Iterator<Item = &Rc<AttemptProgress>> {
+        let ids = (0..attempt_count).map(move |number| AttemptId { request, number: AttemptNo(number) });
+        ids.filter_map(|id| self.0.get(&id))
     }
 }
 
--- a/agent/src/driver/mod.rs
+++ b/agent/src/driver/mod.rs
@@ -245,7 +245,14 @@
         }
     }
 
-    /// Ends a pending request without a final response because its client has disconnected or its time is up.
+    /// Has the balancer answer a pending request now, as its answer is due. Attempts in flight that are not completely
+    /// written are cancelled without writing more.
+    pub fn answer_now(self: &Rc<Self>, id: RequestId) {
+        let may_have_executed = self.state.borrow_mut().requests.begin_overdue_answer(id);
+        self.handle(Event::AnswerDue { request: id, may_have_executed });
+    }
+
+    /// Ends a pending request without a final response because its client has disconnected.
     /// Completely written attempts continue, and their outcomes still count. The others are cancelled without writing
     /// more.
     pub fn abandon(self: &Rc<Self>, id: RequestId) {
--- a/agent/src/driver/requests.rs
+++ b/agent/src/driver/requests.rs
@@ -155,6 +155,14 @@
         })
     }
 
+    /// Prepares a request for an answer that is due while attempts are in flight, and returns whether one of these may
+    /// have been executed. Its answer, if not a rejection, is that it timed out.
+    pub fn begin_overdue_answer(&mut self, id: RequestId) -> bool {
+        let Some(pending) = self.pending.get_mut(&id) else { return false };
+        pending.last_attempt_timed_out = true;
+        self.attempts.may_have_executed(id, pending.metrics.attempts)
+    }
+
     /// Ends a request without a final response, and returns whether it was still pending.
     pub fn abandon(&mut self, id: RequestId, names: &Names) -> bool {
         let Some(request) = self.remove(id) else { return false };
--- a/agent/src/process.rs
+++ b/agent/src/process.rs
@@ -175,7 +175,7 @@
         }
     }
 
-    /// Answers the accepted requests. Bodies in transfer are not cut off before `ShutdownTimes::give_up_at`.
+    /// Answers the accepted requests. Responses in transfer are not cut off before `ShutdownTimes::give_up_at`.
     async fn shut_down(self) {
         let terminated_at = Instant::now();
         let answer_by = self.shutdown_times.answer_by(terminated_at);
--- a/agent/src/process/shutdown.rs
+++ b/agent/src/process/shutdown.rs
@@ -11,7 +11,7 @@
 const MAX_COUNTED_DEADLINE: Duration = Duration::from_secs(3);
 /// Longest delay of the process that is allowed for, between reading the clock and the write that depends on it.
 const MAX_SCHEDULING_DELAY: Duration = Duration::from_millis(150);
-/// How long bodies in transfer may continue after the longest deadline.
+/// How long responses in transfer may continue after the longest deadline.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time within which a response is written once it is decided.
 pub const FLUSH_TIME: Duration = Duration::from_millis(30);
@@ -39,7 +39,7 @@
         terminated_at + (KILL_DELAY + counted_deadline - MAX_SCHEDULING_DELAY - FLUSH_TIME)
     }
 
-    /// Time at which bodies still in transfer are cut off, as they may never end.
+    /// Time at which responses still in transfer are cut off, as they may never end.
     pub fn give_up_at(&self, terminated_at: Instant) -> Instant {
         terminated_at + SIGTERM_ACCEPT_PERIOD + self.longest_deadline + BODY_TIMEOUT
     }
--- a/agent/tests/shutdown.rs
+++ b/agent/tests/shutdown.rs
@@ -1,5 +1,6 @@
 //! Shutdown while every server hangs: each request that was read has its final response before the process may be killed,
-//! which is 0.7 s plus the shortest deadline of the deployment (counted as at most 3 s) after SIGTERM.
+//! which is 0.7 s plus the shortest deadline of the deployment (counted as at most 3 s) after SIGTERM. The platform may also
+//! go by the longest deadline.
 
 mod common;
 #[path = "common/timer_lag.rs"]
@@ -7,6 +8,8 @@
 use common::*;
 use std::time::{Duration, Instant};
 use timer_lag::TimerLag;
+use tokio::io::AsyncWriteExt;
+use tokio::time::{sleep_until, timeout_at};
 
 /// SIGKILL may follow SIGTERM after this plus the shortest deadline.
 const KILL_DELAY: Duration = Duration::from_millis(700);
@@ -84,29 +87,132 @@
     (unanswered, timer_lag.max_lag())
 }
 
-/// Asserts that all requests are answered, in the first round that is conclusive.
-async fn assert_all_are_answered(deadlines: [u64; 3]) {
+/// Asserts that a round returns no unanswered requests, in the first round that is conclusive.
+async fn assert_all_are_answered(round: impl AsyncFn() -> (Vec<String>, Duration)) {
     for _ in 0..ROUNDS {
-        let (unanswered, max_lag) = unanswered_at_kill(deadlines).await;
+        let (unanswered, max_lag) = round().await;
         if unanswered.is_empty() {
             return;
         }
-        assert!(max_lag > MAX_TIMER_LAG, "no response by the time of SIGKILL, {deadlines:?}: {unanswered:?}");
+        assert!(max_lag > MAX_TIMER_LAG, "no response by the time of SIGKILL: {unanswered:?}");
     }
     panic!("all {ROUNDS} rounds were disturbed by scheduling delays");
 }
 
 #[tokio::test]
 async fn short_deadlines_are_met_while_all_servers_hang() {
-    assert_all_are_answered([200, 200, 200]).await;
+    assert_all_are_answered(|| unanswered_at_kill([200, 200, 200])).await;
 }
 
 #[tokio::test]
 async fn long_deadlines_are_met_while_all_servers_hang() {
-    assert_all_are_answered([10_000, 10_000, 10_000]).await;
+    assert_all_are_answered(|| unanswered_at_kill([10_000, 10_000, 10_000])).await;
 }
 
 #[tokio::test]
 async fn mixed_deadlines_are_met_while_all_servers_hang() {
-    assert_all_are_answered([200, 10_000, 1_000]).await;
+    assert_all_are_answered(|| unanswered_at_kill([200, 10_000, 1_000])).await;
+}
+
+/// The deadlines of the classes `read`, `save` and `pay` while bodies are uploaded.
+const UPLOAD_DEADLINES: [Duration; 3] =
+    [Duration::from_millis(1500), Duration::from_secs(4), Duration::from_secs(5)];
+/// How long before SIGTERM the uploads start.
+const UPLOAD_START_TIME: Duration = Duration::from_millis(300);
+/// More than the agent buffers before it forwards a body.
+const FIRST_PIECE_BYTES: usize = 70_000;
+/// An upload sends a piece of this size in each interval: 64 kB a second.
+const PIECE_BYTES: usize = 6_400;
+const PIECE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// How the length of an uploaded body is given.
+#[derive(Clone, Copy, Debug)]
+enum Framing {
+    Length,
+    Chunked,
+}
+
+/// Uploads a body at the lowest permitted rate, so that its last byte is sent at `last_byte_at`. Returns whether the
+/// request has a response at `kill_at`, or could not be sent completely, so that none is owed.
+async fn upload(
+    mut client: Client,
+    path: &str,
+    framing: Framing,
+    last_byte_at: Instant,
+    kill_at: Instant,
+) -> bool {
+    let pieces = last_byte_at.duration_since(Instant::now()).as_millis() / PIECE_INTERVAL.as_millis();
+    let length = FIRST_PIECE_BYTES + PIECE_BYTES * pieces as usize;
+    let length_header = match framing {
+        Framing::Length => format!("Content-Length: {length}"),
+        Framing::Chunked => "Transfer-Encoding: chunked".to_owned(),
+    };
+    client.send(&request("POST", path, "20000m", "").replace("Content-Length: 0", &length_header)).await;
+    for piece in 0..=pieces as u32 {
+        sleep_until((last_byte_at - PIECE_INTERVAL * (pieces as u32 - piece)).into()).await;
+        let data = "x".repeat(if piece == 0 { FIRST_PIECE_BYTES } else { PIECE_BYTES });
+        let bytes = match framing {
+            Framing::Length => data,
+            Framing::Chunked => {
+                let end = if piece == pieces as u32 { "0\r\n\r\n" } else { "" };
+                format!("{:x}\r\n{data}\r\n{end}", data.len())
+            }
+        };
+        if client.stream.write_all(bytes.as_bytes()).await.is_err() {
+            return true;
+        }
+    }
+    let answer = timeout_at(kill_at.into(), read_message(&mut client.stream, 0)).await;
+    matches!(answer, Ok(Some(_)))
+}
+
+/// Runs a shutdown with uploads whose last bytes are sent at these times after SIGTERM. Returns the requests without a
+/// response at the time of SIGKILL, `kill_delay` after SIGTERM, and the largest timer lag.
+async fn uploads_unanswered_at_kill(
+    last_byte_times: &[Duration],
+    kill_delay: Duration,
+) -> (Vec<String>, Duration) {
+    let backend = Backend::start(|_| Reply::Mute).await;
+    let directory = Directory::start(Mood::Mute).await;
+    let mut config = config(directory.address, &[host("s", backend.address, "up")]);
+    for (class, deadline) in UPLOAD_DEADLINES.iter().enumerate() {
+        let class = &mut config["settings"]["classes"][class];
+        let deadline_ms = deadline.as_millis() as u64;
+        (class["deadlineMs"], class["aimMs"]) = (deadline_ms.into(), (deadline_ms / 2).into());
+    }
+    let agent = Agent::start_with(config, |_| {}).await;
+    let timer_lag = TimerLag::start();
+    let terminate_at = Instant::now() + UPLOAD_START_TIME;
+    let mut uploads = Vec::new();
+    for time in last_byte_times {
+        // `pay` may be executed once only, `save` may be retried.
+        for path in ["/pay", "/save"] {
+            for framing in [Framing::Length, Framing::Chunked] {
+                let name = format!("{path}, {framing:?}, last byte after {time:?}");
+                let client = agent.client().await;
+                let times = (terminate_at + *time, terminate_at + kill_delay);
+                uploads.push((name, tokio::spawn(upload(client, path, framing, times.0, times.1))));
+            }
+        }
+    }
+    sleep_until(terminate_at.into()).await;
+    agent.send_sigterm().await;
+    let mut unanswered = Vec::new();
+    for (name, upload) in uploads {
+        if !upload.await.expect("task panicked") {
+            unanswered.push(name);
+        }
+    }
+    (unanswered, timer_lag.max_lag())
+}
+
+/// Guards against requests that are lost at SIGKILL: an upload still in transfer when the time to answer was over had no
+/// time limit from then on, so that its client got no response from a server that hung.
+#[tokio::test]
+async fn uploads_that_end_shortly_before_sigkill_are_answered_while_all_servers_hang() {
+    let shortest = UPLOAD_DEADLINES[0];
+    for kill_delay in [KILL_DELAY + MAX_COUNTED_DEADLINE, KILL_DELAY + shortest] {
+        let last_byte_times = [1000, 300, 100].map(|ms| kill_delay - Duration::from_millis(ms));
+        assert_all_are_answered(|| uploads_unanswered_at_kill(&last_byte_times, kill_delay)).await;
+    }
 }
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -85,6 +85,9 @@
                 let end = AttemptEnd { now, outcome, elapsed };
                 self.handle_outcome(key, end, report.as_deref(), request_finished, actions);
             }
+            Event::AnswerDue { request, may_have_executed } => {
+                self.answer_now(now, request, may_have_executed, actions);
+            }
             Event::BodyComplete { request, time_left } => self.complete_upload(now, request, time_left),
             Event::BodyConsumed { request } => {
                 if let Some(pending) = self.pending.get_mut(request) {
@@ -271,6 +274,14 @@
         });
     }
 
+    /// Emits the final answer of a request that has attempts in flight. They continue, and their outcomes still count.
+    fn answer_now(&mut self, now: Time, id: RequestId, may_have_executed: bool, actions: &mut Vec<Action>) {
+        if let Some(pending) = self.pending.get_mut(id).filter(|_| !may_have_executed) {
+            pending.history.record_unwritten();
+        }
+        self.finish(now, id, actions);
+    }
+
     fn complete_upload(&mut self, now: Time, id: RequestId, time_left: Span) {
         let classes = &self.settings.classes;
         let latency_objective = |request: &Request| classes[request.class.0].latency_objective;
--- a/src/event.rs
+++ b/src/event.rs
@@ -109,6 +109,14 @@
         /// or answer it.
         request_finished: bool,
     },
+    /// A request has to be answered now, whether or not its attempts have ended: its time is over, or the host is about
+    /// to end.
+    AnswerDue {
+        /// The request that is owed its answer.
+        request: RequestId,
+        /// Whether an attempt in flight has been written completely. The host writes nothing more of the others.
+        may_have_executed: bool,
+    },
     /// The last byte of a request body that was still being received has arrived.
     BodyComplete {
         /// The request whose body is now complete.
--- a/src/retries.rs
+++ b/src/retries.rs
@@ -93,6 +93,13 @@
         self.attempts[attempt as usize].state = state;
     }
 
+    /// Records that no attempt in flight has been written completely, and none will be.
+    pub(crate) fn record_unwritten(&mut self) {
+        for attempt in self.attempts.iter_mut().filter(|attempt| attempt.state == ExecutionState::InFlight) {
+            attempt.state = ExecutionState::NotExecuted;
+        }
+    }
+
     /// Records that the beginning of this attempt's response has been forwarded to the client.
     pub(crate) fn record_first_byte(&mut self, attempt: AttemptNo) {
         self.has_response_started = (attempt.0 as usize) < self.attempts.len();
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -94,6 +94,13 @@
                     observed.has_response_started = true;
                 }
             }
+            // The host writes nothing more of the attempts in flight, so that they are not executed.
+            Event::AnswerDue { request, may_have_executed: false } => {
+                let observed = self.requests.get_mut(request).into_iter();
+                for attempt in observed.flat_map(|observed| &mut observed.attempts) {
+                    attempt.outcome.get_or_insert(Outcome::NotSent);
+                }
+            }
             Event::BodyComplete { request, time_left } => {
                 if let Some(observed) = self.requests.get_mut(request) {
                     (observed.is_uploading, observed.deadline) = (false, now + *time_left);
--- a/tests/long_bodies.rs
+++ b/tests/long_bodies.rs
@@ -92,3 +92,28 @@
         rig.assert_invariants();
     }
 }
+
+/// An answer that is due before the attempt has ended is a rejection, which permits the client to retry, unless the attempt
+/// may have been executed and the class does not allow that twice. The attempt's later outcome changes nothing.
+#[test]
+fn an_answer_that_is_due_during_an_attempt_depends_on_whether_the_server_may_execute_it() {
+    for (idempotency, may_have_executed, is_rejected) in [
+        (Idempotency::AtMostOnce, false, true),
+        (Idempotency::AtMostOnce, true, false),
+        (deduplicated(DeduplicationScope::Cell, 5000.0), false, true),
+        (deduplicated(DeduplicationScope::Cell, 5000.0), true, false),
+        (Idempotency::Idempotent, true, true),
+    ] {
+        let mut rig = rig(idempotency);
+        let (id, _) = upload(&mut rig, 0);
+        rig.notify(Event::BodyConsumed { request: id });
+        rig.wait(Span::from_ms(100.0));
+        let case = format!("{idempotency:?}, may have been executed: {may_have_executed}");
+        let actions = rig.notify(Event::AnswerDue { request: id, may_have_executed });
+        assert_eq!((rejected(&actions, id), failed(&actions, id)), (is_rejected, !is_rejected), "{case}");
+        let actions = rig.respond(id, 0, Outcome::NotSent, 100.0);
+        assert!(!rejected(&actions, id) && !failed(&actions, id), "{case}");
+        assert_eq!(rig.notify(Event::AnswerDue { request: id, may_have_executed }), [], "{case}");
+        rig.assert_invariants();
+    }
+}
