Uploads: a client's time runs from its last byte also while its body is unread

The agent gave up after 30 s only.

Cause: the agent reads a long body as fast as its renderer takes it, and counted the client's time from its own reading of the last byte. The rest stood unread in the receive buffer of the client's connection, so the time did not begin. Only the time up to the first read was counted.

Evidence: `4053818 of 4095465 bytes read, no server took more for 1862 ms` in the line of each lost request; each had `sent=1` within a millisecond, and no byte was unacknowledged by the agent's machine.

Fix: LastByteEstimate owns the time at which a client may have sent its last byte. It asks the system how much has arrived, read or not (FIONREAD, by rustix, which was in the lock file): while that grows, the client is sending; once it stands still the body may be complete, and the time runs from then. Nothing more is read or buffered. The attempt's time-out, the time told to a renderer and the handler's limit ask this one owner, and nothing that a renderer does is part of it. A client that sends slowly has no total limit, as each arrival moves the time on.

--- a/agent/src/downstream/body_reader.rs
+++ b/agent/src/downstream/body_reader.rs
@@ -7,6 +7,7 @@
 use crate::traffic::body_deadline::BodyDeadline;
 use crate::traffic::memory_budget::{MemoryBudget, MemoryReservation, MAX_BUFFERED_BODY_BYTES};
 use crate::traffic::request_body::{BodyError, RequestBodyParts, RequestBodyStream, MAX_REQUEST_BODY_BYTES};
+use crate::traffic::socket::Socket;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -30,6 +31,8 @@
     pub expects_continue: bool,
     /// How long the client waits for the response.
     pub client_timeout: Duration,
+    /// The client's connection.
+    pub connection: &'a Socket,
 }
 
 /// A request body that is buffered completely or ready to be streamed.
@@ -85,7 +88,8 @@
             deadline: self.deadline,
             expects_continue: self.expects_continue,
             reservation: memory.reservation,
-            earliest_end: Instant::now() - memory_wait,
+            connection: self.connection.clone(),
+            last_byte_not_before: Instant::now() - memory_wait,
         });
         Ok(ReceivedBody { content: RequestBody::Streamed(stream), memory_wait })
     }
--- a/agent/src/downstream/handler.rs
+++ b/agent/src/downstream/handler.rs
@@ -22,7 +22,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{oneshot, Semaphore};
-use tokio::time::{sleep_until, Instant};
+use tokio::time::{sleep, sleep_until, Instant};
 
 /// The balancer ends each request by its deadline. If it does not, the agent does so this long after the deadline.
 const OVERDUE_GRACE: Duration = Duration::from_millis(4);
@@ -73,7 +73,7 @@
         let IncomingRequest { request, started, is_first } = incoming;
         let mut response = tokio::select! {
             biased;
-            response = self.respond(request, started.body_deadline) => response,
+            response = self.respond(request, started.body_deadline, &socket) => response,
             // Hyper does not notice that the client has closed while unread bytes precede the end of the stream. Nobody
             // reads this response.
             () = socket.wait_for_peer_close() => text_response(StatusCode::BAD_REQUEST, "the client has left"),
@@ -93,12 +93,13 @@
         &self,
         request: Request<Incoming>,
         body_deadline: BodyDeadline,
+        socket: &Socket,
     ) -> Response<ResponseBody> {
         if self.is_readiness_check(&request) {
             return self.readiness_response();
         }
         let request_id = request.headers().get("x-request-id").cloned();
-        match self.read_request(request, body_deadline).await {
+        match self.read_request(request, body_deadline, socket).await {
             Ok(client_request) => self.wait_for_answer(client_request).await,
             Err(error) => {
                 let request_id = request_id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default();
@@ -129,6 +130,7 @@
         &self,
         request: Request<Incoming>,
         body_deadline: BodyDeadline,
+        socket: &Socket,
     ) -> Result<ClientRequest, RequestError> {
         let (parts, body) = request.into_parts();
         let head = RequestHead::parse(&parts, &self.driver.names, &self.driver.idempotency)?;
@@ -138,6 +140,7 @@
             deadline: body_deadline,
             expects_continue: parts.headers.contains_key(EXPECT),
             client_timeout: head.client_timeout,
+            connection: socket,
         };
         let body = reader.read(body).await?;
         // The client may have sent the complete body while the agent waited for memory, so its timeout may have started
@@ -215,12 +218,15 @@
     }
 }
 
-/// Waits until a request should have been answered: until `deadline`, or `timeout` after the last byte of a streamed
-/// body, and then for [`OVERDUE_GRACE`].
+/// Waits until a request should have been answered: until `deadline`, or `timeout` after its client may have sent the last
+/// byte of a streamed body, and then for [`OVERDUE_GRACE`].
 async fn wait_until_overdue(body: Option<&RequestBodyStream>, deadline: Instant, timeout: Duration) {
     match body {
         None => sleep_until(deadline + OVERDUE_GRACE).await,
-        Some(body) => sleep_until(body.wait_until_complete().await + timeout + OVERDUE_GRACE).await,
+        Some(body) => {
+            body.wait_until_answer_due(timeout).await;
+            sleep(OVERDUE_GRACE).await;
+        }
     }
     yield_turns(2 * RESPONSE_DELIVERY_TURNS).await;
 }
--- a/agent/src/driver/attempts.rs
+++ b/agent/src/driver/attempts.rs
@@ -99,7 +99,7 @@
     pub async fn wait_for_timeout(&self) {
         match &self.streamed_body {
             None => sleep_until(self.timeout_at).await,
-            Some(streamed_body) => streamed_body.wait_for_attempt_timeout(self.response_timeout).await,
+            Some(streamed_body) => streamed_body.wait_until_answer_due(self.response_timeout).await,
         }
         yield_turns(RESPONSE_DELIVERY_TURNS).await;
     }
@@ -109,7 +109,10 @@
     pub fn build_request(&self, client_request: &ClientRequest, now: Instant) -> Request<AttemptBody> {
         let time_left = match &self.streamed_body {
             None => self.timeout_at.saturating_duration_since(now),
-            Some(streamed_body) => self.response_timeout.saturating_sub(streamed_body.unread_time()),
+            Some(streamed_body) => {
+                streamed_body.record_attempt();
+                streamed_body.time_left(self.response_timeout)
+            }
         };
         client_request.build_request(time_left)
     }
--- a/agent/src/traffic/body_deadline.rs
+++ b/agent/src/traffic/body_deadline.rs
@@ -8,8 +8,7 @@
 const MIN_BODY_BYTES_PER_SECOND: f64 = 60_000.0;
 /// The longest gap between two reads of a body, however much of it has arrived before.
 const BODY_GAP_TIMEOUT: Duration = Duration::from_millis(1500);
-/// A server that sends nothing for this long in the middle of a response, or reads nothing in the middle of a request,
-/// is not expected to continue.
+/// A server that sends nothing for this long in the middle of a response is not expected to continue.
 pub const STALL_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// The deadline of a request body, which moves as bytes arrive.
--- a/agent/src/traffic/request_body.rs
+++ b/agent/src/traffic/request_body.rs
@@ -1,16 +1,20 @@
 //! The stream of a request body that is too long to be buffered: its chunks pass from the client to the attempt in
 //! flight. The next chunk is read when the last one has been taken.
 
+mod last_byte;
 mod progress;
 mod reader;
 
 pub use progress::BodyProgress;
 pub use reader::{BodyError, MAX_REQUEST_BODY_BYTES};
 
-use crate::traffic::body_deadline::{BodyDeadline, STALL_TIMEOUT};
+use crate::traffic::body_deadline::BodyDeadline;
+use crate::traffic::connection_timer::yield_turns;
 use crate::traffic::memory_budget::MemoryReservation;
+use crate::traffic::socket::Socket;
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
+use last_byte::LastByteEstimate;
 use reader::{BodyReader, Chunk};
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
@@ -21,6 +25,11 @@
 use tokio::sync::watch;
 use tokio::time::{sleep_until, Instant};
 
+/// How often a task whose time is over yields to the runtime, so that bytes which have arrived are read first.
+const ARRIVAL_TURNS: u32 = 8;
+/// A complete body is not observed; its state is looked at after this time.
+const COMPLETE_BODY_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The state of a streamed request body.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum BodyState {
@@ -53,9 +62,11 @@
     pub expects_continue: bool,
     /// The memory reserved for the body.
     pub reservation: MemoryReservation,
+    /// The client's connection.
+    pub connection: Socket,
     /// The earliest time at which the client may have sent the last byte: the body has not been read since, and the
     /// rest of it may be in the kernel's socket buffer.
-    pub earliest_end: Instant,
+    pub last_byte_not_before: Instant,
 }
 
 /// A request body that is forwarded while the client sends it.
@@ -73,13 +84,10 @@
 impl RequestBodyStream {
     /// A stream of which no chunk has been taken yet.
     pub fn new(body: RequestBodyParts) -> Rc<Self> {
-        let RequestBodyParts { prefix, remainder, deadline, expects_continue, reservation, earliest_end } =
-            body;
+        let RequestBodyParts { prefix, remainder, deadline, expects_continue, reservation, .. } = body;
         let length = remainder.size_hint().exact().map(|bytes| prefix.len() as u64 + bytes);
-        let mut reader = BodyReader::new(prefix, remainder, deadline, earliest_end);
-        if expects_continue {
-            reader.record_expect_continue();
-        }
+        let last_byte = LastByteEstimate::new(body.connection, body.last_byte_not_before);
+        let reader = BodyReader::new(prefix, remainder, deadline, last_byte);
         Rc::new(RequestBodyStream {
             length,
             state: watch::Sender::new(BodyState::Receiving),
@@ -106,35 +114,49 @@
         self.reader.borrow().prefix()
     }
 
-    /// Waits for the last byte and returns when the client had sent it.
-    pub async fn wait_until_complete(&self) -> Instant {
+    /// Waits until the client must have its response: `timeout` after it may have sent the last byte, whether or not the
+    /// agent has read that byte. While the client is held back, as its server takes nothing, its time runs too.
+    pub async fn wait_until_answer_due(&self, timeout: Duration) {
         loop {
-            let state = self.wait_for(|state| matches!(state, BodyState::Complete(_))).await;
-            if let BodyState::Complete(at) = state {
-                return at;
+            let next_observation = self.observe_arrivals();
+            let due = self.last_byte_not_before() + timeout;
+            if due > Instant::now() {
+                sleep_until(due.min(next_observation)).await;
+                continue;
+            }
+            // What has arrived in the meantime is read first, and may show that the client is still sending.
+            yield_turns(ARRIVAL_TURNS).await;
+            self.observe_arrivals();
+            if self.last_byte_not_before() + timeout <= Instant::now() {
+                return;
             }
         }
     }
 
-    /// Waits until an attempt that starts now has timed out: `timeout` after the last byte, or when its server has read
-    /// nothing for [`STALL_TIMEOUT`].
-    pub async fn wait_for_attempt_timeout(&self, timeout: Duration) {
-        tokio::select! {
-            complete_at = self.wait_until_complete() => sleep_until(complete_at + timeout).await,
-            () = self.wait_until_stalled() => {}
+    /// How much of `timeout`, which counts from the last byte, is left for the response by what is known so far.
+    pub fn time_left(&self, timeout: Duration) -> Duration {
+        timeout.saturating_sub(self.last_byte_not_before().elapsed())
+    }
+
+    /// The last byte was not sent before this time, by what is known so far.
+    fn last_byte_not_before(&self) -> Instant {
+        self.completed_at().unwrap_or_else(|| self.reader.borrow().last_byte_not_before())
+    }
+
+    /// Observes how much of the body has arrived, unless it has been read completely. Returns when to do so again.
+    fn observe_arrivals(&self) -> Instant {
+        match self.completed_at() {
+            Some(_) => Instant::now() + COMPLETE_BODY_INTERVAL,
+            None => self.reader.borrow_mut().observe_arrivals(),
         }
     }
 
-    /// Waits until no chunk has been polled for during [`STALL_TIMEOUT`].
-    async fn wait_until_stalled(&self) {
-        let started = Instant::now();
-        loop {
-            let now = Instant::now();
-            let since = self.reader.borrow().paused_since().map_or(now, |paused| paused.max(started));
-            if now >= since + STALL_TIMEOUT {
-                return;
-            }
-            sleep_until(since + STALL_TIMEOUT).await;
+    /// Records that an attempt is about to be written. A client that waits for `100 Continue` gets it now, and has not
+    /// sent anything before.
+    pub fn record_attempt(&self) {
+        let mut reader = self.reader.borrow_mut();
+        if self.expects_continue && !reader.has_read() {
+            reader.record_incomplete();
         }
     }
 
@@ -156,11 +178,6 @@
         }
     }
 
-    /// The longest time for which the complete body may have been unread while its client waited for the response.
-    pub fn unread_time(&self) -> Duration {
-        self.reader.borrow().unread_time()
-    }
-
     /// How much of the body has been read, for the log.
     pub fn progress(&self) -> BodyProgress {
         let reader = self.reader.borrow();
--- a/agent/src/traffic/request_body/reader.rs
+++ b/agent/src/traffic/request_body/reader.rs
@@ -1,5 +1,6 @@
 //! Reads a streamed request body from its client and enforces its deadline.
 
+use super::last_byte::{LastByteEstimate, Waiting};
 use crate::traffic::body_deadline::BodyDeadline;
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
@@ -45,13 +46,9 @@
     deadline: BodyDeadline,
     /// Including the prefix.
     bytes_read: u64,
-    /// The earliest time at which the client may have sent the last byte.
-    earliest_end: Instant,
-    first_polled_at: Option<Instant>,
+    last_byte: LastByteEstimate,
     /// Since when a poll has been waiting for a chunk; `None` if none is.
     pending_since: Option<Instant>,
-    /// A poll had to wait for the client, so the complete body cannot have been unread.
-    is_starved: bool,
     /// Since when no chunk has been polled for; `None` while a poll is pending.
     paused_since: Option<Instant>,
     timeout: Pin<Box<Sleep>>,
@@ -59,15 +56,13 @@
 
 impl BodyReader {
     /// Reads the rest of a body, `body`, of which `prefix` has been read already.
-    pub fn new(prefix: Bytes, body: Incoming, deadline: BodyDeadline, earliest_end: Instant) -> Self {
+    pub fn new(prefix: Bytes, body: Incoming, deadline: BodyDeadline, last_byte: LastByteEstimate) -> Self {
         BodyReader {
             bytes_read: prefix.len() as u64,
             prefix,
             body,
-            earliest_end,
-            first_polled_at: None,
+            last_byte,
             pending_since: None,
-            is_starved: false,
             // Until an attempt polls for a chunk, the client is not responsible for the lack of progress.
             paused_since: Some(deadline.last_progress()),
             timeout: Box::pin(sleep_until(deadline.due())),
@@ -75,11 +70,6 @@
         }
     }
 
-    /// Records that the client waits for `100 Continue`: if nothing has been read, nothing has been sent either.
-    pub fn record_expect_continue(&mut self) {
-        self.is_starved = self.bytes_read == 0;
-    }
-
     /// The bytes that had been read before this reader was created.
     pub fn prefix(&self) -> Bytes {
         self.prefix.clone()
@@ -100,22 +90,25 @@
         self.paused_since
     }
 
-    /// The longest time for which the complete body may have been unread.
-    pub fn unread_time(&self) -> Duration {
-        if self.is_starved {
-            return Duration::ZERO;
-        }
-        self.first_polled_at.unwrap_or_else(Instant::now).saturating_duration_since(self.earliest_end)
+    /// The last byte was not sent before this time, by what is known so far.
+    pub fn last_byte_not_before(&self) -> Instant {
+        self.last_byte.not_before()
+    }
+
+    /// Records that the last byte has not been sent yet.
+    pub fn record_incomplete(&mut self) {
+        self.last_byte.record_incomplete(Instant::now());
     }
 
-    /// When the client had sent the last byte, if the body is complete now.
-    fn complete_at(&self) -> Instant {
-        Instant::now() - self.unread_time()
+    /// Observes how much of the body has arrived. Returns when to observe it again.
+    pub fn observe_arrivals(&mut self) -> Instant {
+        let waiting = if self.pending_since.is_some() { Waiting::ForClient } else { Waiting::ForServer };
+        self.last_byte.observe(Instant::now(), waiting);
+        self.last_byte.next_observation(waiting)
     }
 
     /// Polls for the next chunk.
     pub fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Chunk> {
-        self.first_polled_at.get_or_insert_with(Instant::now);
         if let Some(paused) = self.paused_since.take() {
             self.deadline.extend(paused.elapsed());
         }
@@ -126,7 +119,10 @@
                     Err(_trailers) => {}
                 },
                 Poll::Ready(Some(Err(_))) => return Poll::Ready(Chunk::Failed(BodyError::Broken)),
-                Poll::Ready(None) => return Poll::Ready(Chunk::End { complete_at: self.complete_at() }),
+                Poll::Ready(None) => {
+                    self.record_read();
+                    return Poll::Ready(Chunk::End { complete_at: self.last_byte.not_before() });
+                }
                 Poll::Pending => return self.poll_timeout(cx),
             }
         };
@@ -140,15 +136,25 @@
     }
 
     fn record_chunk(&mut self, bytes: Bytes) -> Chunk {
-        self.is_starved |=
-            self.pending_since.take().is_some_and(|since| since.elapsed() > STARVATION_THRESHOLD);
         self.bytes_read += bytes.len() as u64;
         if self.bytes_read > MAX_REQUEST_BODY_BYTES {
             return Chunk::Failed(BodyError::TooLong);
         }
         self.deadline.record_bytes(bytes.len());
         self.paused_since = Some(Instant::now());
-        let complete_at = self.body.is_end_stream().then(|| self.complete_at());
+        self.record_read();
+        let complete_at = self.body.is_end_stream().then(|| self.last_byte.not_before());
         Chunk::Data { bytes, complete_at }
     }
+
+    /// Updates the estimate of the last byte after a poll that found a chunk or the end.
+    fn record_read(&mut self) {
+        let now = Instant::now();
+        let was_starved =
+            self.pending_since.take().is_some_and(|since| now.duration_since(since) > STARVATION_THRESHOLD);
+        if was_starved {
+            self.last_byte.record_incomplete(now);
+        }
+        self.last_byte.record_read(now, self.body.size_hint().exact());
+    }
 }
--- a/agent/src/traffic/socket.rs
+++ b/agent/src/traffic/socket.rs
@@ -2,6 +2,7 @@
 //! peer's close and close the connection without losing bytes.
 
 use socket2::SockRef;
+use std::cell::Cell;
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
@@ -23,7 +24,13 @@
 
 /// A connection, shared by its clones and closed when the last of them is dropped.
 #[derive(Clone)]
-pub struct Socket(Rc<TcpStream>);
+pub struct Socket(Rc<Connection>);
+
+struct Connection {
+    stream: TcpStream,
+    /// How many bytes have been read from it.
+    bytes_read: Cell<u64>,
+}
 
 impl Socket {
     /// Wraps a stream and sets `TCP_NODELAY`, so that small writes go out at once. Delayed ones would wait for
@@ -34,21 +41,31 @@
         if stream.set_nodelay(true).is_err() {
             let _ = stream.set_nodelay(true);
         }
-        Socket(Rc::new(stream))
+        Socket(Rc::new(Connection { stream, bytes_read: Cell::new(0) }))
     }
 
     /// Whether bytes, the end of the stream or an error can be read now. Asks the kernel, as the runtime may not have
     /// been notified yet.
     pub fn has_pending_input(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
-        let peeked = SockRef::from(&*self.0).peek(&mut byte);
+        let peeked = SockRef::from(&self.0.stream).peek(&mut byte);
         !peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// How many bytes have arrived on this machine and have not been read; `None` if the system does not tell.
+    pub fn unread_bytes(&self) -> Option<u64> {
+        rustix::io::ioctl_fionread(&self.0.stream).ok()
+    }
+
+    /// How many bytes have been read.
+    pub fn bytes_read(&self) -> u64 {
+        self.0.bytes_read.get()
+    }
+
     /// Waits until the peer has closed or reset the connection, even if unread bytes precede the end of the stream.
     pub async fn wait_for_peer_close(&self) {
         // `PRIORITY` is also ready for urgent data, which no peer sends, but not for ordinary bytes.
-        while self.0.ready(Interest::PRIORITY).await.is_ok_and(|seen| !seen.is_read_closed()) {
+        while self.0.stream.ready(Interest::PRIORITY).await.is_ok_and(|seen| !seen.is_read_closed()) {
             yield_now().await;
         }
     }
@@ -56,13 +73,13 @@
     /// A lingering close: shuts down the agent's side, then reads and discards input for [`LINGER_TIMEOUT`] at most.
     /// Closing with unread bytes would reset the connection, and the last response could be lost.
     pub async fn close_lingering(&self) {
-        if SockRef::from(&*self.0).shutdown(Shutdown::Write).is_err() {
+        if SockRef::from(&self.0.stream).shutdown(Shutdown::Write).is_err() {
             return;
         }
         let discard = async {
             let mut chunk = vec![0; DISCARD_CHUNK_BYTES];
-            while self.0.readable().await.is_ok() {
-                match self.0.try_read(&mut chunk) {
+            while self.0.stream.readable().await.is_ok() {
+                match self.0.stream.try_read(&mut chunk) {
                     Ok(0) => return,
                     Ok(_) => yield_now().await,
                     Err(error) if is_retryable(&error) => {}
@@ -78,10 +95,14 @@
 impl AsyncRead for Socket {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         loop {
-            ready!(self.0.poll_read_ready(cx))?;
-            match self.0.try_read_buf(buf) {
+            ready!(self.0.stream.poll_read_ready(cx))?;
+            match self.0.stream.try_read_buf(buf) {
                 Err(error) if is_retryable(&error) => {}
-                result => return Poll::Ready(result.map(drop)),
+                result => {
+                    let bytes = *result.as_ref().unwrap_or(&0) as u64;
+                    self.0.bytes_read.set(self.0.bytes_read.get() + bytes);
+                    return Poll::Ready(result.map(drop));
+                }
             }
         }
     }
@@ -94,8 +115,8 @@
         write: impl Fn(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.0.poll_write_ready(cx))?;
-            match write(&self.0) {
+            ready!(self.0.stream.poll_write_ready(cx))?;
+            match write(&self.0.stream) {
                 Err(error) if is_retryable(&error) => {}
                 result => return Poll::Ready(result),
             }
@@ -113,7 +134,7 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.0).shutdown(Shutdown::Write))
+        Poll::Ready(SockRef::from(&self.0.stream).shutdown(Shutdown::Write))
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/agent/tests/layers.rs
+++ b/agent/tests/layers.rs
@@ -5,7 +5,7 @@
 
 /// Each layer of `src`, the lowest first; a file may use what stands before its own layer, and its own folder's files
 /// that stand before it.
-const LAYERS: [&str; 86] = [
+const LAYERS: [&str; 87] = [
     "endpoint_list/entry",
     "endpoint_list/reader",
     "endpoint_list",
@@ -32,6 +32,7 @@
     "traffic/body_deadline",
     "traffic/connection_timer",
     "traffic/memory_budget",
+    "traffic/request_body/last_byte",
     "traffic/request_body/progress",
     "traffic/request_body/reader",
     "traffic/request_body",
--- a/agent/tests/stalls.rs
+++ b/agent/tests/stalls.rs
@@ -5,12 +5,17 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
+use tokio::time::{timeout, timeout_at, Instant};
 
 const MB: usize = 1 << 20;
 /// More than the socket buffers on the way hold.
 const BODY_BYTES: usize = 32 * MB;
-/// Much longer than the agent lets a transfer stall.
-const RESPONSE_TIMEOUT: Duration = Duration::from_secs(120);
+/// The timeout of a client that is held back. It counts from the time at which the client could send no more.
+const CLIENT_TIMEOUT: Duration = Duration::from_millis(900);
+/// A response that comes later than this after the client's timeout is lost.
+const MAX_LATENESS: Duration = Duration::from_millis(500);
+/// A client whose write takes longer than this is held back.
+const HELD_BACK_AFTER: Duration = Duration::from_millis(200);
 
 /// Longer than a server may be silent within a response.
 const LONGER_THAN_STALL_TIMEOUT: Duration = Duration::from_secs(33);
@@ -46,7 +51,7 @@
 }
 
 /// When a server stops reading within a request without closing the connection, the agent gives the request up: the client,
-/// which is blocked on sending, gets a response, and the resources of the request are released.
+/// which is held back, gets a response within its timeout, and the resources of the request are released.
 #[tokio::test]
 async fn client_is_answered_if_the_server_stops_reading_the_body() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("failed to bind a port");
@@ -63,17 +68,18 @@
     config["operator"] = "127.0.0.1:0".into();
     let agent = Agent::start_with(config, |_| {}).await;
     let mut client = agent.client().await;
-    let length = format!("Content-Length: {BODY_BYTES}");
-    client.send(&request("POST", "/pay", "900m", "").replace("Content-Length: 0", &length)).await;
-    let (mut read, mut write) = client.stream.into_split();
-    let writes = tokio::spawn(async move {
-        let piece = vec![b'x'; MB];
-        while write.write_all(&piece).await.is_ok() {}
-    });
+    let (length, client_timeout) =
+        (format!("Content-Length: {BODY_BYTES}"), format!("{}m", CLIENT_TIMEOUT.as_millis()));
+    client.send(&request("POST", "/pay", &client_timeout, "").replace("Content-Length: 0", &length)).await;
+    let (mut last_write_at, piece) = (Instant::now(), vec![b'x'; 64 << 10]);
+    while let Ok(written) = timeout(HELD_BACK_AFTER, client.stream.write(&piece)).await {
+        written.expect("failed to write to the agent");
+        last_write_at = Instant::now();
+    }
     let mut first = [0; 12];
-    let answer = tokio::time::timeout(RESPONSE_TIMEOUT, read.read_exact(&mut first)).await;
-    answer.expect("no response in time").expect("read failed");
+    let answer =
+        timeout_at(last_write_at + CLIENT_TIMEOUT + MAX_LATENESS, client.stream.read_exact(&mut first));
+    answer.await.expect("no response in time").expect("read failed");
     assert!(first.starts_with(b"HTTP/1.1 5") || first.starts_with(b"HTTP/1.1 429"), "{first:?}");
     assert_eq!(agent.counters().await["current"], 0);
-    writes.abort();
 }
