Uploads: a retry has the time that its client has left

The agent now says how much time is left (UploadTimeLeft) before the outcome of an attempt. a_long_body_is_not_sent_again_when_its_client_has_no_time_left holds it; without the event it is sent again.

--- a/agent/src/driver/mod.rs
+++ b/agent/src/driver/mod.rs
@@ -338,6 +338,8 @@
             }
             is_finished
         };
+        let upload_time_left = self.state.borrow().requests.upload_time_left(id.request);
+        upload_time_left.into_iter().for_each(|event| self.handle(event));
         self.handle(Event::Outcome {
             request: id.request,
             attempt: id.number,
--- a/agent/src/driver/requests.rs
+++ b/agent/src/driver/requests.rs
@@ -155,6 +155,15 @@
         })
     }
 
+    /// The event that tells the balancer how long the client of a request still waits for the response, if its streamed
+    /// body is not complete; `None` if it is, or the request is not pending.
+    pub fn upload_time_left(&self, id: RequestId) -> Option<Event> {
+        let client_request = &self.pending.get(&id)?.client_request;
+        let body = client_request.streamed_body().filter(|body| body.completed_at().is_none())?;
+        let time_left = body.time_left(client_request.response_timeout());
+        Some(Event::UploadTimeLeft { request: id, time_left: Span(time_left.as_micros() as u64) })
+    }
+
     /// Prepares a request for an answer that is due while attempts are in flight, and returns whether one of these may
     /// have been executed. Its answer, if not a rejection, is that it timed out.
     pub fn begin_overdue_answer(&mut self, id: RequestId) -> bool {
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -89,6 +89,11 @@
                 self.answer_now(now, request, may_have_executed, actions);
             }
             Event::BodyComplete { request, time_left } => self.complete_upload(now, request, time_left),
+            Event::UploadTimeLeft { request, time_left } => {
+                if let Some(pending) = self.pending.get_mut(request) {
+                    pending.request.time_left = time_left;
+                }
+            }
             Event::BodyConsumed { request } => {
                 if let Some(pending) = self.pending.get_mut(request) {
                     pending.history.record_body_consumed();
@@ -243,7 +248,7 @@
         let Some(pending) = self.pending.get_mut(id) else { return };
         pending.history.record_end(key.attempt, is_not_executed);
         if pending.request.uploading {
-            // The body is still at the client and waits for the next attempt, so the time limits count from now.
+            // No attempt limits the time any more, so the time that the client has left does.
             let latency_objective = self.settings.classes[pending.request.class.0].latency_objective;
             pending.limits = TimeLimits::from_now(now, pending.request.time_left, latency_objective);
         }
--- a/src/event.rs
+++ b/src/event.rs
@@ -124,6 +124,14 @@
         /// How long the client waits for the answer, counted from this event.
         time_left: Span,
     },
+    /// How long the client of a request whose body is still being received waits for the answer, if it has sent the body
+    /// by now. Before this event, [`Request::time_left`] is assumed.
+    UploadTimeLeft {
+        /// The request whose body is still being received.
+        request: RequestId,
+        /// How long the client may still wait, counted from this event.
+        time_left: Span,
+    },
     /// Part of the request body has been forwarded without a copy being kept, so the body cannot be sent again.
     BodyConsumed {
         /// The request whose body cannot be sent again.
--- a/tests/long_bodies.rs
+++ b/tests/long_bodies.rs
@@ -117,3 +117,19 @@
         rig.assert_invariants();
     }
 }
+
+/// Guards against retries for a client that has stopped waiting: the time that the client has left bounds a retry, although
+/// the body has not been received completely.
+#[test]
+fn a_long_body_is_not_sent_again_when_its_client_has_no_time_left() {
+    for (time_left, is_retried) in [(Span::from_ms(500.0), true), (Span(0), false)] {
+        let mut rig = rig(Idempotency::Idempotent);
+        let (id, _) = upload(&mut rig, 0);
+        rig.wait(Span::from_ms(800.0));
+        rig.notify(Event::UploadTimeLeft { request: id, time_left });
+        let actions = rig.respond(id, 0, Outcome::ConnectFailed, 800.0).to_vec();
+        assert_eq!(sent_in(&actions, id).is_some(), is_retried, "{time_left:?}");
+        assert_eq!(rejected(&actions, id), !is_retried, "{time_left:?}");
+        rig.assert_invariants();
+    }
+}
