Testbed: a server that hangs, shared by the tests of stalled uploads

Two test files had such a server each. It has a small receive buffer, as one that the system chooses grows with what is read and could take a complete body. stalls and stalled_uploads pass with it.

--- a/agent/tests/stalled_uploads.rs
+++ b/agent/tests/stalled_uploads.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 use timer_lag::TimerLag;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout, timeout_at};
 
@@ -30,8 +30,6 @@
 const PIECES_SEARCHED: usize = 16;
 /// What the agent has not read by then stands unread.
 const SETTLE_TIME: Duration = Duration::from_millis(200);
-/// The receive buffer of the server, and the send buffer of the client.
-const SOCKET_BUFFER_BYTES: u32 = 128 << 10;
 
 /// How the length of a body is given.
 #[derive(Clone, Copy, Debug)]
@@ -88,18 +86,9 @@
     stream.write_all(&ok("received")).await.ok()
 }
 
-/// Listens with a small receive buffer: the one that the system would choose as a server reads could take a complete body.
-fn listen() -> (TcpListener, SocketAddr) {
-    let socket = TcpSocket::new_v4().expect("failed to create a socket");
-    socket.set_recv_buffer_size(SOCKET_BUFFER_BYTES).expect("failed to set the buffer size");
-    socket.bind("127.0.0.1:0".parse().expect("invalid address")).expect("failed to bind a port");
-    let listener = socket.listen(16).expect("failed to listen");
-    let address = listener.local_addr().expect("no local address");
-    (listener, address)
-}
-
 async fn start_server(body_sent: BodySent, then: ThenServer) -> SocketAddr {
-    let (listener, address) = listen();
+    let listener = small_buffer_listener();
+    let address = listener.local_addr().expect("no local address");
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
             tokio::spawn(serve(stream, body_sent.clone(), then));
@@ -108,18 +97,6 @@
     address
 }
 
-/// Starts a server that accepts connections and reads nothing.
-async fn start_hanging_server() -> SocketAddr {
-    let (listener, address) = listen();
-    tokio::spawn(async move {
-        let mut accepted = Vec::new();
-        while let Ok((stream, _)) = listener.accept().await {
-            accepted.push(stream);
-        }
-    });
-    address
-}
-
 /// The bytes of a client connection that are on their way, by the system's table of connections.
 struct Queues {
     /// Written by the client, and not acknowledged by the agent's machine.
@@ -155,7 +132,7 @@
 /// buffer, a good part of a body could wait there.
 async fn connect(agent: &Agent) -> TcpStream {
     let socket = TcpSocket::new_v4().expect("failed to create a socket");
-    socket.set_send_buffer_size(SOCKET_BUFFER_BYTES).expect("failed to set the buffer size");
+    socket.set_send_buffer_size(SMALL_BUFFER_BYTES).expect("failed to set the buffer size");
     socket.connect(agent.address).await.expect("failed to connect")
 }
 
@@ -210,7 +187,7 @@
     /// A write that takes longer is blocked.
     const BLOCKED_AFTER: Duration = Duration::from_millis(300);
     let directory = Directory::start(Mood::Mute).await;
-    let hosts = [host("s", start_hanging_server().await, "up")];
+    let hosts = [host("s", HangingServer::start().await.address, "up")];
     let agent = Agent::start(directory.address, &hosts).await;
     let mut client = connect(&agent).await;
     let head = upload_head("/pay", Framing::Length, BODY_BYTES / PIECE_BYTES);
@@ -226,7 +203,7 @@
 /// nothing, as the body did not come to stand unread in the agent's machine as a whole.
 async fn upload_unread(path: &str, framing: Framing, pieces: usize) -> Option<Option<(u16, Duration)>> {
     let directory = Directory::start(Mood::Mute).await;
-    let hosts = [host("s", start_hanging_server().await, "up")];
+    let hosts = [host("s", HangingServer::start().await.address, "up")];
     let agent = Agent::start(directory.address, &hosts).await;
     let mut client = connect(&agent).await;
     let written_at = timeout(MAX_LATENESS, write_upload(&mut client, path, framing, pieces)).await.ok()?;
--- a/agent/tests/stalls.rs
+++ b/agent/tests/stalls.rs
@@ -54,17 +54,9 @@
 /// which is held back, gets a response within its timeout, and the resources of the request are released.
 #[tokio::test]
 async fn client_is_answered_if_the_server_stops_reading_the_body() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("failed to bind a port");
-    let address = listener.local_addr().expect("no local address");
-    // It accepts connections and never reads from them.
-    tokio::spawn(async move {
-        let mut accepted = Vec::new();
-        while let Ok((stream, _)) = listener.accept().await {
-            accepted.push(stream);
-        }
-    });
+    let server = HangingServer::start().await;
     let directory = Directory::start(Mood::Mute).await;
-    let mut config = config(directory.address, &[host("s", address, "up")]);
+    let mut config = config(directory.address, &[host("s", server.address, "up")]);
     config["operator"] = "127.0.0.1:0".into();
     let agent = Agent::start_with(config, |_| {}).await;
     let mut client = agent.client().await;
--- a/testbed/src/scripted.rs
+++ b/testbed/src/scripted.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{mpsc, watch, Notify};
 
 /// Nothing that is waited for takes nearly as long; a test that reaches this has failed.
@@ -268,6 +268,38 @@
            "rules": {"askWithinMs": 10000, "stopSendingWithinMs": 2000}, "periodMs": 1})
 }
 
+/// The size of small socket buffers. One that the system chooses grows as its owner reads, and could take a complete body.
+pub const SMALL_BUFFER_BYTES: u32 = 128 << 10;
+
+/// A listener on a free port whose connections have small receive buffers.
+pub fn small_buffer_listener() -> TcpListener {
+    let socket = TcpSocket::new_v4().expect("failed to create a socket");
+    socket.set_recv_buffer_size(SMALL_BUFFER_BYTES).expect("failed to set the buffer size");
+    socket.bind("127.0.0.1:0".parse().expect("invalid address")).expect("failed to bind a port");
+    socket.listen(16).expect("failed to listen")
+}
+
+/// A server that hangs: it accepts connections, reads nothing and keeps them open.
+pub struct HangingServer {
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+impl HangingServer {
+    /// Starts on a free port.
+    pub async fn start() -> Self {
+        let listener = small_buffer_listener();
+        let address = listener.local_addr().expect("no local address");
+        tokio::spawn(async move {
+            let mut accepted = Vec::new();
+            while let Ok((stream, _)) = listener.accept().await {
+                accepted.push(stream);
+            }
+        });
+        HangingServer { address }
+    }
+}
+
 /// The application's side of a connection.
 pub struct Client {
     /// The connection.
