--- a/review/standins-2/src/agent.rs
+++ b/review/standins-2/src/agent.rs
@@ -2,12 +2,13 @@
 
 use crate::case;
 use crate::client::Client;
-use std::io::Read;
-use std::net::{SocketAddr, TcpListener};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
 use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Command, Stdio};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// What an agent is told.
 pub struct Setup {
@@ -19,13 +20,23 @@
     /// How many agents the deployment has.
     pub balancers: u32,
     pub operator: Option<SocketAddr>,
+    /// The platform holds the clients' listening socket, and each process inherits it.
+    pub inherits_listener: bool,
 }
 
+extern "C" {
+    fn dup2(old: i32, new: i32) -> i32;
+}
+
+/// The descriptor that the platform names in `$PROXY_LISTEN_FD`.
+const LISTEN_FD: i32 = 7;
+
 pub struct Agent {
     pub address: SocketAddr,
     pub pid: i32,
     pub folder: PathBuf,
     setup: Setup,
+    listener: Option<TcpListener>,
 }
 
 /// The settings of a small deployment: those of the example on the wire page, with the classes, zones and limits of the
@@ -56,6 +67,16 @@
     TcpListener::bind((ip, 0)).expect("no free port").local_addr().unwrap()
 }
 
+/// Makes a call at a second address.
+pub fn call(operator: SocketAddr, line: &str) -> Option<String> {
+    let mut stream = TcpStream::connect_timeout(&operator, Duration::from_secs(1)).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(2))).ok()?;
+    stream.write_all(format!("{line}\n").as_bytes()).ok()?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).ok()?;
+    Some(answer)
+}
+
 /// The value of a key of the deploy file.
 fn deploy_command(key: &str) -> String {
     let text = std::fs::read_to_string("deploy/balancer.toml").expect("no deploy file: start in the root");
@@ -70,7 +91,11 @@
     /// Starts an agent and waits until `GET /ready` answers 200.
     pub fn start(name: &str, setup: Setup) -> Self {
         let folder = case::temporary_folder(name);
-        let mut agent = Agent { address: free_address("127.0.0.1"), pid: 0, folder, setup };
+        let listener =
+            setup.inherits_listener.then(|| TcpListener::bind("127.0.0.1:0").expect("no free port"));
+        let address =
+            listener.as_ref().map_or_else(|| free_address("127.0.0.1"), |l| l.local_addr().unwrap());
+        let mut agent = Agent { address, pid: 0, folder, setup, listener };
         agent.write_config();
         agent.spawn(name);
         agent.wait_until_ready();
@@ -78,7 +103,7 @@
     }
 
     fn write_config(&self) {
-        let Setup { discovery, known, sockets, memory_mb, balancers, operator } = &self.setup;
+        let Setup { discovery, known, sockets, memory_mb, balancers, operator, .. } = &self.setup;
         let operator = operator.map_or(String::new(), |address| format!(r#""operator":"{address}","#));
         let text = format!(
             r#"{{"name":"n0","listen":"{}","discovery":"{discovery}",{operator}"seed":"8c1f30d27a5be964",
@@ -100,7 +125,8 @@
     fn spawn(&mut self, name: &str) {
         let scratch = self.folder.join("tmp");
         std::fs::create_dir_all(&scratch).expect("no folder");
-        let log = std::fs::File::create(self.folder.join("log")).expect("no log");
+        let log =
+            std::fs::File::options().create(true).append(true).open(self.folder.join("log")).expect("no log");
         let mut command = Command::new("/bin/sh");
         command
             .arg("-c")
@@ -111,10 +137,20 @@
             .env("PROXY_LISTEN", self.address.to_string())
             .env("PROXY_DISCOVERY", self.setup.discovery.to_string());
         command.env("TMPDIR", scratch).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
-        // SAFETY: the closure makes one system call and allocates nothing.
+        if let Some(operator) = self.setup.operator {
+            command.env("PROXY_OPERATOR", operator.to_string());
+        }
+        let listener = self.listener.as_ref().map(|listener| listener.as_raw_fd());
+        if listener.is_some() {
+            command.env("PROXY_LISTEN_FD", LISTEN_FD.to_string());
+        }
+        // SAFETY: the closure makes system calls alone and allocates nothing.
         unsafe {
-            command.pre_exec(|| {
+            command.pre_exec(move || {
                 case::end_with_parent();
+                if let Some(descriptor) = listener {
+                    dup2(descriptor, LISTEN_FD);
+                }
                 Ok(())
             });
         }
@@ -124,6 +160,37 @@
         case::note(&format!("agent {name} started as process {} at {}", self.pid, self.address));
     }
 
+    /// An upgrade: starts a second process beside the running one, with the same configuration and folder and another
+    /// second address, waits for its yes, sends SIGTERM to the old one, and SIGKILL after 3 s and 0.7 s. Returns when the
+    /// yes came.
+    pub fn upgrade(&mut self, name: &str, operator: SocketAddr) -> f64 {
+        let old = self.pid;
+        self.setup.operator = Some(operator);
+        self.spawn(name);
+        let started = Instant::now();
+        while !call(operator, "health").is_some_and(|answer| answer.starts_with("done")) {
+            assert!(
+                started.elapsed() < Duration::from_secs(6),
+                "the new process says no yes: {}",
+                self.log()
+            );
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        case::note("the new process says yes; SIGTERM to the old one");
+        case::signal(old, case::SIGTERM);
+        std::thread::spawn(move || {
+            for _ in 0..370 {
+                if case::has_ended(old) {
+                    return case::note("the old process has ended");
+                }
+                std::thread::sleep(Duration::from_millis(10));
+            }
+            case::note("SIGKILL to the old process");
+            case::signal(old, case::SIGKILL);
+        });
+        case::now_ms()
+    }
+
     fn wait_until_ready(&self) {
         for _ in 0..600 {
             if let Some(mut client) = Client::connect(self.address) {
--- a/review/standins-2/src/bin/bad_clients.rs
+++ b/review/standins-2/src/bin/bad_clients.rs
@@ -47,6 +47,7 @@
         memory_mb: MEMORY_MB,
         balancers: 1,
         operator: None,
+        inherits_listener: false,
     };
     let agent = Agent::start("n0", setup);
     let (address, pid) = (agent.address, agent.pid);
--- a/review/standins-2/src/bin/crowd.rs
+++ b/review/standins-2/src/bin/crowd.rs
@@ -55,6 +55,7 @@
         memory_mb: 48,
         balancers: 1,
         operator: None,
+        inherits_listener: false,
     };
     let agent = Agent::start("n0", setup);
     let address = agent.address;
--- a/review/standins-2/src/bin/slow_discovery.rs
+++ b/review/standins-2/src/bin/slow_discovery.rs
@@ -37,8 +37,15 @@
     let first = Discovery::start("the first discovery", 1, entries.clone(), Duration::ZERO);
     let delay = if trouble() { SLOW } else { Duration::ZERO };
     let second = Discovery::start("the second discovery", 1, entries, delay);
-    let setup =
-        Setup { discovery: first.address, known, sockets: 384, memory_mb: 48, balancers: 1, operator: None };
+    let setup = Setup {
+        discovery: first.address,
+        known,
+        sockets: 384,
+        memory_mb: 48,
+        balancers: 1,
+        operator: None,
+        inherits_listener: false,
+    };
     let mut agent = Agent::start("n0", setup);
     let address = agent.address;
     work(1500.0);
--- a/review/standins-2/src/discovery.rs
+++ b/review/standins-2/src/discovery.rs
@@ -59,6 +59,7 @@
     pub address: SocketAddr,
     list: Arc<(Mutex<List>, Condvar)>,
     is_retired: Arc<AtomicBool>,
+    is_silent: Arc<AtomicBool>,
     connections: Arc<Mutex<Vec<TcpStream>>>,
 }
 
@@ -71,6 +72,8 @@
         let (shared, name) = (list.clone(), name.to_owned());
         let (is_retired, connections) = (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(Vec::new())));
         let (retired, open) = (is_retired.clone(), connections.clone());
+        let is_silent = Arc::new(AtomicBool::new(false));
+        let silent = is_silent.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 if retired.load(Ordering::SeqCst) {
@@ -78,10 +81,17 @@
                 }
                 open.lock().unwrap().extend(stream.try_clone());
                 let (list, name) = (shared.clone(), name.clone());
-                std::thread::spawn(move || serve(stream, &name, &list, delay));
+                let silent = silent.clone();
+                std::thread::spawn(move || serve(stream, &name, &list, &silent, delay));
             }
         });
-        Discovery { address, list, is_retired, connections }
+        Discovery { address, list, is_retired, is_silent, connections }
+    }
+
+    /// While discovery is down, the agent of discovery on this machine is silent: it answers nothing.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.is_silent.store(is_silent, Ordering::SeqCst);
+        note(if is_silent { "discovery is down, its agent is silent" } else { "discovery is back" });
     }
 
     /// Accepts no more connections, and closes the open ones some time later.
@@ -113,7 +123,13 @@
     }
 }
 
-fn serve(mut stream: TcpStream, name: &str, list: &(Mutex<List>, Condvar), delay: Duration) {
+fn serve(
+    mut stream: TcpStream,
+    name: &str,
+    list: &(Mutex<List>, Condvar),
+    silent: &AtomicBool,
+    delay: Duration,
+) {
     let _ = stream.set_nodelay(true);
     let mut reader = Reader::default();
     while let Ok(call) = reader.read(&mut stream) {
@@ -146,6 +162,13 @@
             }
         };
         std::thread::sleep(delay);
+        if silent.load(Ordering::SeqCst) {
+            // What was asked during the outage is forgotten: that connection stays open and mute.
+            while silent.load(Ordering::SeqCst) {
+                std::thread::sleep(Duration::from_millis(5));
+            }
+            continue;
+        }
         let answer = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
             body.len()
--- a/review/standins-2/src/renderer.rs
+++ b/review/standins-2/src/renderer.rs
@@ -52,18 +52,17 @@
         let listener = TcpListener::bind((ip, 0)).expect("no free port");
         let address = listener.local_addr().unwrap();
         let serve = Arc::new(serve);
-        let of = name.to_owned();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (serve, of) = (serve.clone(), of.clone());
-                std::thread::spawn(move || connection(stream, &of, &*serve));
+                let serve = serve.clone();
+                std::thread::spawn(move || connection(stream, &*serve));
             }
         });
         Renderer { name: name.to_owned(), address }
     }
 }
 
-fn connection(stream: TcpStream, name: &str, serve: &(dyn Fn(&Message, &Answers) + Send + Sync)) {
+fn connection(stream: TcpStream, serve: &(dyn Fn(&Message, &Answers) + Send + Sync)) {
     let _ = stream.set_nodelay(true);
     let Ok(writer) = stream.try_clone() else { return };
     let answers = Answers(Arc::new(Mutex::new(writer)));
@@ -76,7 +75,6 @@
             _ => serve(&message, &answers),
         }
     }
-    let _ = name;
 }
 
 /// Records that a renderer runs a request.
