Requests: a client's time runs from their arrival, and silent clients yield their slots

Cause, two of them: silent clients kept their slots for the idle time-out (2.2 s) while the application's connections waited in the accept queue; and a request's time began when its head was parsed, wherever it had lain until then.

Evidence: the late requests of the record come in batches every 2.2 s, in the order of their connects; each renderer took 80 ms, and the balancer queued nothing.

Fix: downstream/arrival.rs owns the time at which a request arrived. It asks the kernel (TCP_INFO); where that does not tell, ArrivalWatch gives the earliest possible time. The deadline, the time told to renderers, the body's time and the balancer (Request::waited) all use it, so none of them can start late.

New in the counts line: closed_unused and closed_unread. lingering.rs and the new eviction share AbortQueue.

--- a/adapter/src/instance.rs
+++ b/adapter/src/instance.rs
@@ -60,6 +60,7 @@
             cost_hint: estimate_ms.map(Span::from_ms),
             is_retry: request.has_flag(ClientRequest::IS_RETRY),
             time_left: Span::from_ms(request.time_left_ms),
+            waited: Span::ZERO,
             uploading: false,
         }))
     }
--- a/agent/src/downstream/body_reader.rs
+++ b/agent/src/downstream/body_reader.rs
@@ -1,6 +1,7 @@
 //! Reads request bodies. A body of at most [`MAX_BUFFERED_BODY_BYTES`] is buffered completely; of a longer one only
 //! what it takes to know this is read, and the rest is streamed.
 
+use crate::downstream::arrival::HeadArrival;
 use crate::downstream::errors::RequestError;
 use crate::downstream::lifecycle::Lifecycle;
 use crate::driver::client_request::RequestBody;
@@ -25,6 +26,8 @@
     pub budget: &'a MemoryBudget,
     /// Limits the wait for memory while the process shuts down.
     pub lifecycle: &'a Lifecycle,
+    /// When the head arrived.
+    pub head_arrival: HeadArrival,
     /// When the body times out.
     pub deadline: BodyDeadline,
     /// Whether the client waits for `100 Continue` before it sends the body.
@@ -39,8 +42,8 @@
 pub struct ReceivedBody {
     /// The bytes or the stream.
     pub content: RequestBody,
-    /// The total time spent waiting for memory, in which the body was not read.
-    pub memory_wait: Duration,
+    /// The client may have sent the last byte of the request by then, and not before.
+    pub arrived_at: Instant,
 }
 
 /// A memory reservation and the time that it took to get it.
@@ -74,7 +77,7 @@
             match self.buffer_up_to_limit(&mut body).await? {
                 BufferedBody::Complete(bytes) => {
                     let content = RequestBody::Buffered { bytes, _reservation: memory.reservation };
-                    return Ok(ReceivedBody { content, memory_wait });
+                    return Ok(ReceivedBody { content, arrived_at: self.arrived_at(memory_wait) });
                 }
                 BufferedBody::Prefix(bytes) => prefix = bytes,
             }
@@ -82,6 +85,7 @@
         let remaining_timeout = self.client_timeout.saturating_sub(memory_wait);
         let memory = self.wait_for_memory(self.budget.reserve_streamed_request(), remaining_timeout).await?;
         memory_wait += memory.waited;
+        let arrived_at = self.arrived_at(memory_wait);
         let stream = RequestBodyStream::new(RequestBodyParts {
             prefix,
             remainder: body,
@@ -89,9 +93,16 @@
             expects_continue: self.expects_continue,
             reservation: memory.reservation,
             connection: self.connection.clone(),
-            last_byte_not_before: Instant::now() - memory_wait,
+            last_byte_not_before: arrived_at,
         });
-        Ok(ReceivedBody { content: RequestBody::Streamed(stream), memory_wait })
+        Ok(ReceivedBody { content: RequestBody::Streamed(stream), arrived_at })
+    }
+
+    /// The earliest time at which the client can have sent all that it has to send. While the agent waited for memory, it did
+    /// not read, and the rest of the body may have arrived unseen.
+    fn arrived_at(&self, memory_wait: Duration) -> Instant {
+        let read_at = Instant::now() - memory_wait;
+        self.head_arrival.request_arrival(self.connection).min(read_at)
     }
 
     async fn buffer_up_to_limit(&mut self, body: &mut Incoming) -> Result<BufferedBody, BodyError> {
--- a/agent/src/downstream/connection.rs
+++ b/agent/src/downstream/connection.rs
@@ -1,5 +1,6 @@
 //! Serves one client connection, enforces its timeouts and ends it on shutdown.
 
+use crate::downstream::arrival::HeadArrival;
 use crate::downstream::handler::{IncomingRequest, RequestHandler};
 use crate::downstream::lifecycle::Phase;
 use crate::traffic::connection_timer::{ConnectionTimer, TimedSocket};
@@ -16,12 +17,14 @@
 pub async fn serve_connection(handler: Rc<RequestHandler>, socket: &Socket) {
     let mut phases = handler.lifecycle().subscribe();
     let closes_after_response = phases.borrow_and_update().closes_idle_connections();
-    let timer = ConnectionTimer::new();
+    let timer = ConnectionTimer::new(socket.opened_at());
     let (request_timer, request_socket) = (timer.clone(), socket.clone());
     let service = service_fn(move |request| {
         let is_first = request_timer.awaits_first_request();
         let started = request_timer.start_request();
-        let incoming = IncomingRequest { request, started, is_first };
+        // Hyper may read on before the request is handled.
+        let arrival = HeadArrival::of_last_read(&request_socket);
+        let incoming = IncomingRequest { request, started, is_first, arrival };
         let (handler, socket) = (handler.clone(), request_socket.clone());
         async move { Ok::<_, Infallible>(handler.handle(incoming, socket).await) }
     });
--- a/agent/src/downstream/handler.rs
+++ b/agent/src/downstream/handler.rs
@@ -1,5 +1,6 @@
 //! Handles requests: validates each, submits it to the balancer and waits for the answer.
 
+use crate::downstream::arrival::HeadArrival;
 use crate::downstream::body_reader::{BodyReader, ANSWER_RESERVE};
 use crate::downstream::errors::RequestError;
 use crate::downstream::lifecycle::Lifecycle;
@@ -35,6 +36,14 @@
     pub started: StartedRequest,
     /// Whether it is the first request of its connection.
     pub is_first: bool,
+    /// When the head arrived.
+    pub arrival: HeadArrival,
+}
+
+/// When a request arrived, and when its body times out.
+struct RequestTiming {
+    arrival: HeadArrival,
+    body_deadline: BodyDeadline,
 }
 
 /// Handles the requests of all connections.
@@ -70,10 +79,11 @@
 
     /// Answers a request, with `Connection: close` if the connection is to be closed after the response.
     pub async fn handle(&self, incoming: IncomingRequest, socket: Socket) -> Response<ResponseBody> {
-        let IncomingRequest { request, started, is_first } = incoming;
+        let IncomingRequest { request, started, is_first, arrival } = incoming;
+        let timing = RequestTiming { arrival, body_deadline: started.body_deadline };
         let mut response = tokio::select! {
             biased;
-            response = self.respond(request, started.body_deadline, &socket) => response,
+            response = self.respond(request, timing, &socket) => response,
             // Hyper does not notice that the client has closed while unread bytes precede the end of the stream. Nobody
             // reads this response.
             () = socket.wait_for_peer_close() => text_response(StatusCode::BAD_REQUEST, "the client has left"),
@@ -92,14 +102,14 @@
     async fn respond(
         &self,
         request: Request<Incoming>,
-        body_deadline: BodyDeadline,
+        timing: RequestTiming,
         socket: &Socket,
     ) -> Response<ResponseBody> {
         if self.is_readiness_check(&request) {
             return self.readiness_response();
         }
         let request_id = request.headers().get("x-request-id").cloned();
-        match self.read_request(request, body_deadline, socket).await {
+        match self.read_request(request, timing, socket).await {
             Ok(client_request) => self.wait_for_answer(client_request).await,
             Err(error) => {
                 let request_id = request_id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default();
@@ -129,7 +139,7 @@
     async fn read_request(
         &self,
         request: Request<Incoming>,
-        body_deadline: BodyDeadline,
+        timing: RequestTiming,
         socket: &Socket,
     ) -> Result<ClientRequest, RequestError> {
         let (parts, body) = request.into_parts();
@@ -137,15 +147,14 @@
         let reader = BodyReader {
             budget: &self.driver.memory_budget,
             lifecycle: &self.lifecycle,
-            deadline: body_deadline,
+            deadline: timing.body_deadline,
+            head_arrival: timing.arrival,
             expects_continue: parts.headers.contains_key(EXPECT),
             client_timeout: head.client_timeout,
             connection: socket,
         };
         let body = reader.read(body).await?;
-        // The client may have sent the complete body while the agent waited for memory, so its timeout may have started
-        // then.
-        let arrived_at = Instant::now() - body.memory_wait;
+        let arrived_at = body.arrived_at;
         Ok(ClientRequest {
             class: head.class,
             tenant: head.tenant,
--- a/agent/src/downstream/lifecycle.rs
+++ b/agent/src/downstream/lifecycle.rs
@@ -22,6 +22,11 @@
     pub fn closes_idle_connections(self) -> bool {
         matches!(self, Phase::Draining | Phase::Closing)
     }
+
+    /// Whether no more connections are accepted in this phase.
+    pub fn stops_accepting(self) -> bool {
+        matches!(self, Phase::Closing | Phase::HandedOver)
+    }
 }
 
 /// The current phase of the process and the time limit of its shutdown.
@@ -43,6 +48,11 @@
         *self.phase.borrow() == Phase::Running
     }
 
+    /// Whether the phase is [`Phase::Closing`].
+    pub fn is_closing(&self) -> bool {
+        *self.phase.borrow() == Phase::Closing
+    }
+
     /// Subscribes to the phase and its changes.
     pub fn subscribe(&self) -> watch::Receiver<Phase> {
         self.phase.subscribe()
--- a/agent/src/downstream/request_head.rs
+++ b/agent/src/downstream/request_head.rs
@@ -107,7 +107,7 @@
 }
 
 /// Parses a timeout such as `480m` (milliseconds) or `900u` (microseconds) of at most [`MAX_CLIENT_TIMEOUT`].
-fn parse_timeout(text: &str) -> Option<Duration> {
+pub fn parse_timeout(text: &str) -> Option<Duration> {
     let (digits, unit) = text.split_at_checked(text.len().checked_sub(1)?)?;
     let micros_per_unit = match unit {
         "m" => 1000.0,
--- a/agent/src/downstream/server/tests.rs
+++ b/agent/src/downstream/server/tests.rs
@@ -4,6 +4,7 @@
 use std::os::fd::OwnedFd;
 use std::os::unix::net::UnixStream;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 /// A working stream on which TCP options cannot be set, and its other end: it is a Unix socket.
 fn stream_without_tcp_options() -> std::io::Result<(TcpStream, tokio::net::UnixStream)> {
@@ -40,7 +41,7 @@
             let (server_end, mut client_end) = stream_without_tcp_options().expect("create a socket pair");
             assert!(server_end.set_nodelay(true).is_err(), "TCP options can be set on this stream");
             let slot = server.connection_slots.clone().try_acquire_owned().expect("get a connection slot");
-            tokio::task::spawn_local(server.serve_until_closed(server_end, slot));
+            tokio::task::spawn_local(server.serve_until_closed(Socket::new(server_end), slot));
             client_end.write_all(b"GET /ready HTTP/1.1\r\nhost: x\r\n\r\n").await.expect("send the request");
             let mut answer = vec![0; 12];
             client_end.read_exact(&mut answer).await.expect("read the response");
@@ -80,7 +81,7 @@
             let server = Server::new(driver, 8);
             let (server_end, mut client_end) = stream_without_tcp_options().expect("create a socket pair");
             let slot = server.connection_slots.clone().try_acquire_owned().expect("get a connection slot");
-            tokio::task::spawn_local(server.serve_until_closed(server_end, slot));
+            tokio::task::spawn_local(server.serve_until_closed(Socket::new(server_end), slot));
             let request = "POST /a HTTP/1.1\r\nhost: x\r\nx-request-id: 1\r\nx-priority-class: a\r\n\
                                x-timeout: 2000m\r\ncontent-length: 0\r\n\r\n";
             let started = Instant::now();
@@ -120,7 +121,7 @@
                     stream_without_tcp_options().expect("create a socket pair");
                 let slot =
                     server.connection_slots.clone().try_acquire_owned().expect("get a connection slot");
-                tokio::task::spawn_local(server.clone().serve_until_closed(server_end, slot));
+                tokio::task::spawn_local(server.clone().serve_until_closed(Socket::new(server_end), slot));
                 let mut answer = vec![0; 256];
                 client_end.write_all(READY_REQUEST).await.expect("send the request");
                 assert_ne!(client_end.read(&mut answer).await.expect("read the response"), 0);
@@ -155,7 +156,7 @@
                     stream_without_tcp_options().expect("create a socket pair");
                 let slot =
                     server.connection_slots.clone().try_acquire_owned().expect("get a connection slot");
-                tokio::task::spawn_local(server.clone().serve_until_closed(server_end, slot));
+                tokio::task::spawn_local(server.clone().serve_until_closed(Socket::new(server_end), slot));
                 let mut answer = vec![0; 256];
                 for used in [false, true] {
                     client_end.write_all(first).await.expect("send the request");
--- a/agent/src/driver/mod.rs
+++ b/agent/src/driver/mod.rs
@@ -18,7 +18,7 @@
 
 use crate::config::Config;
 use crate::log::{FailedAttempt, Log};
-use crate::metrics::{Counts, Metrics};
+use crate::metrics::{Counts, Metrics, UnreadClose};
 use crate::traffic::memory_budget::MemoryBudget;
 use crate::traffic::request_body::BodyEvent;
 use crate::upstream::client::UpstreamClient;
@@ -213,6 +213,7 @@
     ) -> (RequestId, oneshot::Receiver<FinalResponse>) {
         let (response_sender, receiver) = oneshot::channel();
         let id = self.state.borrow_mut().requests.next_id();
+        let now = Instant::now();
         let request = balancer::Request {
             id,
             class: client_request.class,
@@ -220,7 +221,8 @@
             affinity_key: client_request.affinity_key,
             cost_hint: client_request.cost_hint,
             is_retry: client_request.is_retry,
-            time_left: self.clock.time_at(client_request.deadline).since(self.clock.now()),
+            time_left: Span(client_request.deadline.saturating_duration_since(now).as_micros() as u64),
+            waited: Span(now.saturating_duration_since(client_request.arrived_at).as_micros() as u64),
             uploading: client_request.streamed_body().is_some(),
         };
         let metrics = match client_request.streamed_body() {
@@ -262,6 +264,11 @@
         }
     }
 
+    /// Counts a connection that is closed before anything is read from it, for lack of connection slots.
+    pub fn record_connection_close(&self, close: UnreadClose) {
+        self.metrics.record_connection_close(close);
+    }
+
     /// Counts and logs an invalid request that was answered with `status`.
     pub fn record_invalid_request(&self, request: &str, status: StatusCode, reason: &str) {
         self.metrics.record_invalid_request();
--- a/agent/src/log/counts.rs
+++ b/agent/src/log/counts.rs
@@ -33,8 +33,8 @@
         CountsLog { last_due_at: now, last_counts: Counts::default() }
     }
 
-    /// Returns the changes of the counts since they were last due, if they are due again and a request has arrived or
-    /// was invalid, or an attempt has ended, in between.
+    /// Returns the changes of the counts since they were last due, if they are due again and in between a request has
+    /// arrived or was invalid, an attempt has ended, or a connection was closed unread.
     pub fn take_due(&mut self, now: Instant, metrics: &Metrics) -> Option<CountsDelta> {
         if now.saturating_duration_since(self.last_due_at) < COUNTS_INTERVAL {
             return None;
@@ -44,7 +44,9 @@
         self.last_due_at = now;
         let has_changed = counts.arrived > before.arrived
             || counts.invalid > before.invalid
-            || counts.outcomes != before.outcomes;
+            || counts.outcomes != before.outcomes
+            || counts.closed_unused > before.closed_unused
+            || counts.closed_unread > before.closed_unread;
         has_changed.then_some(CountsDelta { counts, before })
     }
 }
@@ -80,6 +82,8 @@
             attempts = self.describe_outcomes(),
             left_out,
             connections,
+            closed_unused = counts.closed_unused - before.closed_unused,
+            closed_unread = counts.closed_unread - before.closed_unread,
             "{summary}",
         );
     }
--- a/agent/src/metrics.rs
+++ b/agent/src/metrics.rs
@@ -23,6 +23,15 @@
     Abandoned,
 }
 
+/// Why a connection was closed before anything was read from it.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum UnreadClose {
+    /// Its client had sent nothing, and its slot was needed.
+    Unused,
+    /// It had waited so long that a response could have come too late.
+    WaitedTooLong,
+}
+
 /// Requests of one class that have ended, by how they ended.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct EndCounts {
@@ -86,6 +95,10 @@
     pub invalid: u64,
     /// Attempts that have ended, indexed by [`Outcome`].
     pub outcomes: [u64; OUTCOMES],
+    /// Connections that were closed as [`UnreadClose::Unused`].
+    pub closed_unused: u64,
+    /// Connections that were closed as [`UnreadClose::WaitedTooLong`].
+    pub closed_unread: u64,
 }
 
 impl Counts {
@@ -165,6 +178,15 @@
         self.counts.borrow_mut().invalid += 1;
     }
 
+    /// Records a connection that was closed before anything was read from it.
+    pub fn record_connection_close(&self, close: UnreadClose) {
+        let mut counts = self.counts.borrow_mut();
+        match close {
+            UnreadClose::Unused => counts.closed_unused += 1,
+            UnreadClose::WaitedTooLong => counts.closed_unread += 1,
+        }
+    }
+
     /// Records an attempt that has ended.
     pub fn record_attempt(&self, server: ServerId, outcome: Outcome) {
         self.by_server.borrow_mut().entry(server).or_default().record(outcome);
--- a/agent/src/process.rs
+++ b/agent/src/process.rs
@@ -38,6 +38,8 @@
 /// of them all for its requests, and no more attempts are in flight than that. Its other descriptors are for
 /// unresponsive peers, which occupy theirs until they are given up.
 const SERVER_DESCRIPTORS_DIVISOR: usize = 3;
+/// Accepted connections that wait for a slot.
+const WAITING_CONNECTIONS: usize = 1;
 /// How long a process that inherits its listener waits for an endpoint list before it accepts clients without one.
 const ENDPOINT_LIST_TIMEOUT: Duration = Duration::from_secs(4);
 /// Environment variable with the folder that the processes of an agent share.
@@ -143,7 +145,8 @@
             std::env::var_os(SHARED_FOLDER_VARIABLE).filter(|_| admin_address.is_some()).map(PathBuf::from);
         let admin = Admin::new(driver.clone(), folder, name.clone(), address.to_string());
         let event_loop = tokio::task::spawn_local(driver.clone().run());
-        let server = Server::new(driver.clone(), descriptors - server_descriptors);
+        let client_descriptors = descriptors - server_descriptors;
+        let server = Server::new(driver.clone(), client_descriptors.saturating_sub(WAITING_CONNECTIONS));
         let accept_clients_task =
             accept_clients(server.clone(), driver.clone(), listener, is_listener_shared);
         let accept_loop = tokio::task::spawn_local(accept_clients_task);
@@ -188,7 +191,6 @@
         if self.is_listener_shared {
             // The new process accepts the connections in the listen queue, or the one after it does: the platform keeps
             // the socket open.
-            self.accept_loop.abort();
             self.server.hand_over(answer_by);
         } else {
             self.server.drain(answer_by);
--- a/agent/src/traffic/connection_timer.rs
+++ b/agent/src/traffic/connection_timer.rs
@@ -19,7 +19,7 @@
 /// An idle connection is closed after this time. The service terms allow it after 2 s without a request.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(2200);
 /// A head times out this long after its first byte; the first head of a connection, this long after the connection was
-/// accepted. The service terms grant a head 2 s and require that a peer that sends none is disconnected within 3 s.
+/// established. The service terms grant a head 2 s and require that a peer that sends none is disconnected within 3 s.
 /// Also the grace period of a body, during which its rate does not matter.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(2800);
 /// A client that reads nothing of its response for this long is not expected to continue.
@@ -60,9 +60,8 @@
 }
 
 impl ConnectionTimer {
-    /// The timer of a connection that has just been accepted.
-    pub fn new() -> Rc<Self> {
-        let opened_at = Instant::now();
+    /// The timer of a connection that was established at `opened_at`.
+    pub fn new(opened_at: Instant) -> Rc<Self> {
         Rc::new(ConnectionTimer {
             opened_at,
             awaits_first_request: Cell::new(true),
--- a/agent/src/traffic/connection_timer/tests.rs
+++ b/agent/src/traffic/connection_timer/tests.rs
@@ -5,7 +5,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_body_is_limited_by_its_rate_and_not_by_its_total_time() {
-    let timer = ConnectionTimer::new();
+    let timer = ConnectionTimer::new(Instant::now());
     advance(2000 * MS).await;
     let StartedRequest { body_deadline: mut slow, active: _active } = timer.start_request();
     for _ in 0..60 {
@@ -32,7 +32,7 @@
 /// that it is disconnected within 3 s of the connect.
 #[tokio::test(start_paused = true)]
 async fn a_body_that_stops_after_its_first_bytes_gets_no_more_time_than_a_head() {
-    let timer = ConnectionTimer::new();
+    let timer = ConnectionTimer::new(Instant::now());
     let StartedRequest { body_deadline: mut stopped, active: _active } = timer.start_request();
     stopped.record_bytes(1 << 20);
     assert_eq!(stopped.due(), timer.opened_at + HEAD_TIMEOUT);
@@ -40,7 +40,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn idle_and_head_timeouts_follow_the_state_of_a_connection() {
-    let timer = ConnectionTimer::new();
+    let timer = ConnectionTimer::new(Instant::now());
     let opened = Instant::now();
     timer.wait_until_overdue().await;
     assert_eq!(opened.elapsed(), IDLE_TIMEOUT);
--- a/agent/src/traffic/mod.rs
+++ b/agent/src/traffic/mod.rs
@@ -1,6 +1,8 @@
 //! Shared by the sides of the agent that face clients and servers: sockets and how they are closed, bodies and their
 //! memory budget, and the timeouts of clients.
 
+pub mod abort_queue;
+pub mod arrival_watch;
 pub mod attempt_body;
 pub mod body_deadline;
 pub mod connection_timer;
@@ -10,3 +12,4 @@
 pub mod request_body;
 pub mod response_body;
 pub mod socket;
+mod tcp_info;
--- a/agent/src/traffic/socket.rs
+++ b/agent/src/traffic/socket.rs
@@ -1,11 +1,13 @@
 //! A TCP connection that the HTTP library reads and writes. Meanwhile its owner can peek at the input, watch for the
-//! peer's close and close the connection without losing bytes.
+//! peer's close, ask when its bytes arrived and close the connection without losing bytes.
 
+use crate::traffic::arrival_watch::ArrivalWatch;
+use crate::traffic::tcp_info::connection_ages;
 use socket2::SockRef;
 use std::cell::Cell;
 use std::io;
-use std::mem::MaybeUninit;
 use std::net::Shutdown;
+use std::os::fd::AsFd;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
@@ -13,7 +15,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::yield_now;
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 /// After the agent has shut down its side, the peer has this long to close its own. Bytes that arrive until then are
 /// read and discarded. Later ones reset the connection, but by then none of the bytes that the peer waits for are in
@@ -28,28 +30,76 @@
 
 struct Connection {
     stream: TcpStream,
+    established_at: Instant,
     /// How many bytes have been read from it.
     bytes_read: Cell<u64>,
+    arrivals: ArrivalWatch,
+    /// The bytes that were read last had not arrived before this time.
+    last_read_not_before: Cell<Instant>,
 }
 
 impl Socket {
     /// Wraps a stream and sets `TCP_NODELAY`, so that small writes go out at once. Delayed ones would wait for
     /// acknowledgements, and a reset would lose them.
     pub fn new(stream: TcpStream) -> Self {
+        Self::established_at(stream, Instant::now())
+    }
+
+    /// Wraps a stream that was accepted, and was not established before `not_before`. The kernel tells when it was; if it
+    /// does not, `not_before` is assumed.
+    pub fn accepted(stream: TcpStream, not_before: Instant) -> Self {
+        let now = Instant::now();
+        let established_at =
+            connection_ages(stream.as_fd()).and_then(|ages| now.checked_sub(ages.since_send));
+        Self::established_at(stream, established_at.unwrap_or(not_before))
+    }
+
+    fn established_at(stream: TcpStream, established_at: Instant) -> Self {
         // On some systems this fails once for a socket that was just accepted, so it is tried again. The connection
         // works without it, too.
         if stream.set_nodelay(true).is_err() {
             let _ = stream.set_nodelay(true);
         }
-        Socket(Rc::new(Connection { stream, bytes_read: Cell::new(0) }))
+        Socket(Rc::new(Connection {
+            stream,
+            established_at,
+            bytes_read: Cell::new(0),
+            arrivals: ArrivalWatch::new(established_at),
+            last_read_not_before: Cell::new(established_at),
+        }))
+    }
+
+    /// When the connection was established, which may be long before it was accepted.
+    pub fn opened_at(&self) -> Instant {
+        self.0.established_at
+    }
+
+    /// The earliest time at which the last of the bytes that have been read can have arrived. If the agent was waiting for
+    /// them, it is when they did. If they lay unread, it is when the connection was last known to have no unread bytes:
+    /// the kernel tells the age of the newest bytes alone, and others may lie before them.
+    pub fn last_read_arrival(&self) -> Instant {
+        let not_before = self.0.last_read_not_before.get();
+        let ages = connection_ages(self.0.stream.as_fd());
+        // The agent was held up between the arrival and its read, although it was waiting.
+        let newest_at = ages.and_then(|ages| Instant::now().checked_sub(ages.since_receive));
+        newest_at.map_or(not_before, |newest_at| newest_at.min(not_before))
     }
 
     /// Whether bytes, the end of the stream or an error can be read now. Asks the kernel, as the runtime may not have
     /// been notified yet.
     pub fn has_pending_input(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        let peeked = SockRef::from(&self.0.stream).peek(&mut byte);
-        !peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+        !self.peek(&mut [0]).is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Copies bytes that can be read now to `buffer`, and leaves them unread. Returns how many.
+    ///
+    /// # Errors
+    ///
+    /// As of recv(2): [`io::ErrorKind::WouldBlock`] if no bytes can be read.
+    pub fn peek(&self, buffer: &mut [u8]) -> io::Result<usize> {
+        rustix::net::recv(&self.0.stream, buffer, rustix::net::RecvFlags::PEEK)
+            .map(|(length, _)| length)
+            .map_err(io::Error::from)
     }
 
     /// How many bytes have arrived on this machine and have not been read; `None` if the system does not tell.
@@ -94,13 +144,22 @@
 
 impl AsyncRead for Socket {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let Socket(connection) = &*self;
         loop {
-            ready!(self.0.stream.poll_read_ready(cx))?;
-            match self.0.stream.try_read_buf(buf) {
+            let Poll::Ready(ready) = connection.stream.poll_read_ready(cx) else {
+                // The runtime may not have been notified of bytes that have arrived.
+                if !connection.arrivals.is_watched() && !self.has_pending_input() {
+                    connection.arrivals.record_waiting();
+                }
+                return Poll::Pending;
+            };
+            ready?;
+            let capacity = buf.remaining();
+            match connection.stream.try_read_buf(buf) {
                 Err(error) if is_retryable(&error) => {}
                 result => {
-                    let bytes = *result.as_ref().unwrap_or(&0) as u64;
-                    self.0.bytes_read.set(self.0.bytes_read.get() + bytes);
+                    let bytes = *result.as_ref().unwrap_or(&0);
+                    connection.record_read(bytes, capacity);
                     return Poll::Ready(result.map(drop));
                 }
             }
@@ -108,6 +167,15 @@
     }
 }
 
+impl Connection {
+    /// Records that `bytes` bytes were read into a buffer that had space for `capacity`.
+    fn record_read(&self, bytes: usize, capacity: usize) {
+        self.bytes_read.set(self.bytes_read.get() + bytes as u64);
+        let not_before = self.arrivals.record_taken(Instant::now(), bytes < capacity);
+        self.last_read_not_before.set(not_before);
+    }
+}
+
 impl Socket {
     fn poll_write_with(
         &self,
--- a/agent/tests/common/platform.rs
+++ b/agent/tests/common/platform.rs
@@ -26,6 +26,11 @@
         Platform { socket, folder }
     }
 
+    /// The address of the socket.
+    pub fn address(&self) -> std::net::SocketAddr {
+        self.socket.local_addr().expect("an address")
+    }
+
     /// One more process, with a second address of its own and the socket as descriptor 7.
     pub async fn process(&self, directory: &Directory, hosts: &[Value]) -> Agent {
         self.process_of(config(directory.address, hosts)).await
--- a/agent/tests/layers.rs
+++ b/agent/tests/layers.rs
@@ -5,7 +5,7 @@
 
 /// Each layer of `src`, the lowest first; a file may use what stands before its own layer, and its own folder's files
 /// that stand before it.
-const LAYERS: [&str; 87] = [
+const LAYERS: [&str; 93] = [
     "endpoint_list/entry",
     "endpoint_list/reader",
     "endpoint_list",
@@ -27,7 +27,10 @@
     "config/file",
     "config",
     "traffic/errors",
+    "traffic/arrival_watch",
+    "traffic/tcp_info",
     "traffic/socket",
+    "traffic/abort_queue",
     "traffic/lingering",
     "traffic/body_deadline",
     "traffic/connection_timer",
@@ -75,9 +78,12 @@
     "downstream/lifecycle",
     "downstream/request_head",
     "downstream/responses",
+    "downstream/arrival",
     "downstream/body_reader",
     "downstream/handler",
     "downstream/connection",
+    "downstream/unread_head",
+    "downstream/accept_queue",
     "downstream/server",
     "admin/command_writer",
     "admin/snapshots",
--- a/src/admission.rs
+++ b/src/admission.rs
@@ -127,11 +127,10 @@
         let class = &settings.classes[request.class.0];
         // First tries of a class arrive with the same timeout. Any other timeout is what the client's earlier tries
         // have left of the deadline, so the latency objective is reduced by the time that they took.
-        let is_first_try =
-            self.usual_timeouts[request.class.0].vote(request.time_left, settings.event_interval);
-        let time_used =
-            if is_first_try { Span::ZERO } else { class.deadline.saturating_sub(request.time_left) };
-        let objective = class.latency_objective.saturating_sub(time_used);
+        let timeout = Span(request.time_left.0.saturating_add(request.waited.0));
+        let is_first_try = self.usual_timeouts[request.class.0].vote(timeout, settings.event_interval);
+        let time_used = if is_first_try { Span::ZERO } else { class.deadline.saturating_sub(timeout) };
+        let objective = class.latency_objective.saturating_sub(time_used).saturating_sub(request.waited);
         self.count(now, request);
         Assessment {
             limits: TimeLimits::from_now(now, request.time_left, objective),
--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -27,6 +27,18 @@
     assert_eq!(limits(400.0).objective, NOW + Span::from_ms(100.0));
 }
 
+/// Guards against first tries that are taken for retries because they waited unread before the balancer got them.
+#[test]
+fn a_first_try_that_waited_has_used_that_time_of_its_latency_objective() {
+    let (settings, mut rng) = (settings(), fastrand::Rng::with_seed(1));
+    let mut admission = Admission::new(&settings);
+    admission.assess(NOW, &request(360.0), &settings, &mut rng);
+    let waiting = Request { waited: Span::from_ms(30.0), ..request(330.0) };
+    let limits = admission.assess(NOW, &waiting, &settings, &mut rng).limits;
+    assert_eq!(limits.objective, NOW + Span::from_ms(70.0));
+    assert_eq!(limits.deadline, NOW + Span::from_ms(330.0));
+}
+
 #[test]
 fn a_new_usual_timeout_is_adopted_after_enough_requests() {
     let (settings, mut rng) = (settings(), fastrand::Rng::with_seed(1));
--- a/src/event.rs
+++ b/src/event.rs
@@ -23,6 +23,8 @@
     pub is_retry: bool,
     /// How much longer the client waits for the answer.
     pub time_left: Span,
+    /// How long the request had waited before the balancer got it; the client's timeout is this and `time_left` together.
+    pub waited: Span,
     /// The body is still being received and is forwarded as it arrives. The client's waiting time starts at
     /// [`Event::BodyComplete`]; `time_left` limits only the part of the body that is received before the first
     /// attempt.
@@ -40,6 +42,7 @@
             cost_hint: None,
             is_retry: false,
             time_left,
+            waited: Span::ZERO,
             uploading: false,
         }
     }
