Memory: heads are charged before they are read, and slots are tied to the limit

Cause: bodies had a budget and heads had none. The HTTP library reads up to 32 kB of a head into a buffer that doubles, and keeps it while any field is in use; a parsed field takes some 140 bytes however short it is; and the number of slots came from the descriptors alone, so 667 slots times some 90 kB had no bond with 32 MB.

Fix: HeadMemory divides half of the limit among the slots. A head over 4 kB or 32 fields reserves 64 kB before more of it is read, and is rejected with 503 if it gets none for 0.25 s. One read is bounded by the allowance of a slot. A parsed head is dropped before its body is read. Bodies up to 2 kB belong to the allowance, so that the application's small requests do not wait behind the long bodies of others.

--- a/agent/src/downstream/body_reader.rs
+++ b/agent/src/downstream/body_reader.rs
@@ -71,8 +71,8 @@
         let mut memory_wait = Duration::ZERO;
         if hint.lower() <= MAX_BUFFERED_BODY_BYTES as u64 {
             let bytes = hint.exact().map_or(MAX_BUFFERED_BODY_BYTES, |length| length as usize);
-            let memory =
-                self.wait_for_memory(self.budget.reserve_request(bytes), self.client_timeout).await?;
+            let reservation = self.budget.reserve_request(bytes);
+            let memory = self.wait_for_memory(reservation, self.client_timeout).await?;
             memory_wait = memory.waited;
             match self.buffer_up_to_limit(&mut body).await? {
                 BufferedBody::Complete(bytes) => {
--- a/agent/src/downstream/connection.rs
+++ b/agent/src/downstream/connection.rs
@@ -4,34 +4,51 @@
 use crate::downstream::handler::{IncomingRequest, RequestHandler};
 use crate::downstream::lifecycle::Phase;
 use crate::traffic::connection_timer::{ConnectionTimer, TimedSocket};
+use crate::traffic::head_memory::HeadGate;
 use crate::traffic::memory_budget::HTTP_BUFFER_BYTES;
 use crate::traffic::socket::Socket;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use hyper::Request;
 use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
 use tokio::task::yield_now;
 
+/// Rejects a request whose head is not read to its end. The HTTP library has no request to respond to yet.
+const NO_HEAD_MEMORY_RESPONSE: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 25\r\n\r\nno capacity for the head\n";
+
 /// Answers the requests of a connection until it is to be closed. The caller closes it.
 pub async fn serve_connection(handler: Rc<RequestHandler>, socket: &Socket) {
+    let gate = HeadGate::new(handler.head_memory());
+    serve_requests(handler, socket, &gate).await;
+    if gate.is_rejected() {
+        socket.write_now(NO_HEAD_MEMORY_RESPONSE);
+    }
+}
+
+async fn serve_requests(handler: Rc<RequestHandler>, socket: &Socket, gate: &Rc<HeadGate>) {
     let mut phases = handler.lifecycle().subscribe();
     let closes_after_response = phases.borrow_and_update().closes_idle_connections();
     let timer = ConnectionTimer::new(socket.opened_at());
-    let (request_timer, request_socket) = (timer.clone(), socket.clone());
-    let service = service_fn(move |request| {
+    let (request_timer, request_socket, request_gate) = (timer.clone(), socket.clone(), gate.clone());
+    let service = service_fn(move |request: Request<Incoming>| {
+        let head_memory = request_gate.admit_parsed_head(request.headers().len());
         let is_first = request_timer.awaits_first_request();
         let started = request_timer.start_request();
         // Hyper may read on before the request is handled.
         let arrival = HeadArrival::of_last_read(&request_socket);
-        let incoming = IncomingRequest { request, started, is_first, arrival };
+        let gate = request_gate.clone();
+        let incoming = IncomingRequest { request, started, is_first, arrival, head_memory, gate };
         let (handler, socket) = (handler.clone(), request_socket.clone());
         async move { Ok::<_, Infallible>(handler.handle(incoming, socket).await) }
     });
     let mut builder = http1::Builder::new();
     // Hyper's own timeout for heads would also count the idle time before a head.
     builder.header_read_timeout(None).keep_alive(!closes_after_response).max_buf_size(HTTP_BUFFER_BYTES);
-    let timed_socket = TimedSocket::new(socket.clone(), timer.clone());
+    let timed_socket = TimedSocket::new(socket.clone(), timer.clone(), gate.clone());
     let mut connection = pin!(builder.serve_connection(timed_socket, service));
     loop {
         // The connection is polled first, so that input which has arrived is read before a timeout or a change of phase
@@ -41,7 +58,7 @@
             biased;
             _ = connection.as_mut() => return,
             () = timer.wait_until_overdue() => {
-                if timer.is_write_blocked() || !socket.has_pending_input() {
+                if timer.is_write_blocked() || gate.is_waiting() || !socket.has_pending_input() {
                     return;
                 }
                 // The input has arrived, but the runtime has not been notified of it yet.
--- a/agent/src/downstream/errors.rs
+++ b/agent/src/downstream/errors.rs
@@ -1,5 +1,6 @@
 //! Errors that reject a request before the balancer decides about it. Their texts are sent to the client.
 
+use crate::traffic::head_memory::NoHeadMemory;
 use crate::traffic::request_body::BodyError;
 use hyper::StatusCode;
 
@@ -33,6 +34,9 @@
     /// The body cannot be read.
     #[error(transparent)]
     Body(#[from] BodyError),
+    /// There is no memory for the head.
+    #[error(transparent)]
+    Head(#[from] NoHeadMemory),
     /// The memory budget had no capacity for the body before the request had to be answered or the body timed out.
     #[error("no room for the body")]
     NoBodyMemory,
@@ -44,7 +48,7 @@
         match self {
             RequestError::UnknownClass => StatusCode::NOT_FOUND,
             RequestError::MethodNotAllowed { .. } => StatusCode::METHOD_NOT_ALLOWED,
-            RequestError::NoBodyMemory => StatusCode::SERVICE_UNAVAILABLE,
+            RequestError::NoBodyMemory | RequestError::Head(NoHeadMemory) => StatusCode::SERVICE_UNAVAILABLE,
             RequestError::Body(BodyError::TooLong) => StatusCode::PAYLOAD_TOO_LARGE,
             RequestError::Body(BodyError::TimedOut) => StatusCode::REQUEST_TIMEOUT,
             RequestError::ClassMismatch
--- a/agent/src/downstream/handler.rs
+++ b/agent/src/downstream/handler.rs
@@ -11,6 +11,7 @@
 use crate::driver::{Driver, RESPONSE_DELIVERY_TURNS};
 use crate::traffic::body_deadline::BodyDeadline;
 use crate::traffic::connection_timer::{yield_turns, StartedRequest};
+use crate::traffic::head_memory::{HeadGate, HeadMemory, NoHeadMemory};
 use crate::traffic::request_body::{BodyError, RequestBodyStream};
 use crate::traffic::response_body::ResponseBody;
 use crate::traffic::socket::Socket;
@@ -18,6 +19,7 @@
 use balancer::RequestId;
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONNECTION, EXPECT};
+use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -38,12 +40,17 @@
     pub is_first: bool,
     /// When the head arrived.
     pub arrival: HeadArrival,
+    /// Whether there is memory for the head.
+    pub head_memory: Result<(), NoHeadMemory>,
+    /// The gate of its connection.
+    pub gate: Rc<HeadGate>,
 }
 
 /// When a request arrived, and when its body times out.
 struct RequestTiming {
     arrival: HeadArrival,
     body_deadline: BodyDeadline,
+    head_memory: Result<(), NoHeadMemory>,
 }
 
 /// Handles the requests of all connections.
@@ -52,6 +59,7 @@
     lifecycle: Lifecycle,
     /// One permit for each connection that may still be accepted.
     connection_slots: Arc<Semaphore>,
+    head_memory: Rc<HeadMemory>,
 }
 
 /// Notifies the balancer if it is dropped before the request has got its answer.
@@ -68,8 +76,13 @@
 
 impl RequestHandler {
     /// A handler that submits requests to `driver`.
-    pub fn new(driver: Rc<Driver>, connection_slots: Arc<Semaphore>) -> Self {
-        RequestHandler { driver, lifecycle: Lifecycle::new(), connection_slots }
+    pub fn new(driver: Rc<Driver>, connection_slots: Arc<Semaphore>, head_memory: Rc<HeadMemory>) -> Self {
+        RequestHandler { driver, lifecycle: Lifecycle::new(), connection_slots, head_memory }
+    }
+
+    /// The memory of client connections.
+    pub fn head_memory(&self) -> Rc<HeadMemory> {
+        self.head_memory.clone()
     }
 
     /// The lifecycle of the process.
@@ -79,8 +92,8 @@
 
     /// Answers a request, with `Connection: close` if the connection is to be closed after the response.
     pub async fn handle(&self, incoming: IncomingRequest, socket: Socket) -> Response<ResponseBody> {
-        let IncomingRequest { request, started, is_first, arrival } = incoming;
-        let timing = RequestTiming { arrival, body_deadline: started.body_deadline };
+        let IncomingRequest { request, started, is_first, arrival, head_memory, gate } = incoming;
+        let timing = RequestTiming { arrival, body_deadline: started.body_deadline, head_memory };
         let mut response = tokio::select! {
             biased;
             response = self.respond(request, timing, &socket) => response,
@@ -93,7 +106,7 @@
         // while their timeouts run, and the service terms do not allow an idle connection to be closed before 2 s. So a
         // connection is closed after its first response then; one that has been used again stays open.
         let closes_to_free_slot = is_first && self.connection_slots.available_permits() == 0;
-        if closes_to_free_slot || !self.lifecycle.is_running() {
+        if closes_to_free_slot || gate.blocks_large_heads() || !self.lifecycle.is_running() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
@@ -142,14 +155,19 @@
         timing: RequestTiming,
         socket: &Socket,
     ) -> Result<ClientRequest, RequestError> {
+        timing.head_memory?;
         let (parts, body) = request.into_parts();
         let head = RequestHead::parse(&parts, &self.driver.names, &self.driver.idempotency)?;
+        let headers = forwarded_headers(&parts.headers);
+        let expects_continue = parts.headers.contains_key(EXPECT);
+        // The request may wait for its body and for a server, and needs nothing else of its head.
+        let Parts { method, uri, .. } = parts;
         let reader = BodyReader {
             budget: &self.driver.memory_budget,
             lifecycle: &self.lifecycle,
             deadline: timing.body_deadline,
             head_arrival: timing.arrival,
-            expects_continue: parts.headers.contains_key(EXPECT),
+            expects_continue,
             client_timeout: head.client_timeout,
             connection: socket,
         };
@@ -164,9 +182,9 @@
             request_id: head.request_id,
             arrived_at,
             deadline: self.deadline(arrived_at, head.client_timeout),
-            headers: forwarded_headers(&parts.headers),
-            method: parts.method,
-            uri: parts.uri,
+            headers,
+            method,
+            uri,
             body: body.content,
         })
     }
--- a/agent/src/downstream/server.rs
+++ b/agent/src/downstream/server.rs
@@ -10,6 +10,7 @@
 use crate::metrics::UnreadClose;
 use crate::traffic::abort_queue::AbortQueue;
 use crate::traffic::errors::{is_connection_error, is_resource_exhaustion};
+use crate::traffic::head_memory::HeadMemory;
 use crate::traffic::lingering::LingeringCloses;
 use crate::traffic::socket::Socket;
 use std::cell::Cell;
@@ -70,11 +71,12 @@
 }
 
 impl Server {
-    /// A server with at most `max_connections` open connections.
+    /// A server with at most `max_connections` open connections, fewer if the memory limit does not allow so many.
     pub fn new(driver: Rc<Driver>, max_connections: usize) -> Rc<Self> {
-        let connection_slots = Arc::new(Semaphore::new(max_connections));
+        let head_memory = HeadMemory::new(driver.memory_budget.connection_bytes(), max_connections);
+        let connection_slots = Arc::new(Semaphore::new(head_memory.max_connections()));
         Rc::new(Server {
-            handler: Rc::new(RequestHandler::new(driver.clone(), connection_slots.clone())),
+            handler: Rc::new(RequestHandler::new(driver.clone(), connection_slots.clone(), head_memory)),
             driver,
             open_connections: Cell::new(0),
             connection_slots,
--- a/agent/src/traffic/connection_timer.rs
+++ b/agent/src/traffic/connection_timer.rs
@@ -3,6 +3,7 @@
 //! body has its [`BodyDeadline`].
 
 use crate::traffic::body_deadline::BodyDeadline;
+use crate::traffic::head_memory::HeadGate;
 use crate::traffic::socket::Socket;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
@@ -10,8 +11,9 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
+use tokio::io::{AsyncRead, ReadBuf};
 use tokio::sync::Notify;
 use tokio::task::yield_now;
 use tokio::time::{sleep_until, Instant};
@@ -150,16 +152,42 @@
     }
 }
 
-/// A client's socket whose reads and writes are recorded in the timer of its connection.
+/// A client's socket whose reads and writes are recorded in the timer of its connection, and whose reads are limited by
+/// its gate.
 pub struct TimedSocket {
     io: TokioIo<Socket>,
     timer: Rc<ConnectionTimer>,
+    gate: Rc<HeadGate>,
 }
 
 impl TimedSocket {
-    /// Records the reads and writes of `socket` in `timer`.
-    pub fn new(socket: Socket, timer: Rc<ConnectionTimer>) -> Self {
-        TimedSocket { io: TokioIo::new(socket), timer }
+    /// Records the reads and writes of `socket` in `timer`, and limits the reads by `gate`.
+    pub fn new(socket: Socket, timer: Rc<ConnectionTimer>, gate: Rc<HeadGate>) -> Self {
+        TimedSocket { io: TokioIo::new(socket), timer, gate }
+    }
+
+    /// Waits until bytes may be read. Returns how many.
+    fn poll_read_limit(&self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        match self.timer.has_active_request() {
+            true => Poll::Ready(Ok(self.gate.max_read_bytes())),
+            false => self.gate.poll_head_bytes(cx).map_err(io::Error::other),
+        }
+    }
+
+    fn poll_read_up_to(
+        &mut self,
+        cx: &mut Context<'_>,
+        mut buf: ReadBufCursor<'_>,
+        limit: usize,
+    ) -> Poll<io::Result<()>> {
+        if buf.remaining() <= limit {
+            return Pin::new(&mut self.io).poll_read(cx, buf);
+        }
+        let mut scratch = self.gate.scratch();
+        let mut limited = ReadBuf::new(&mut scratch[..limit]);
+        ready!(Pin::new(self.io.inner_mut()).poll_read(cx, &mut limited))?;
+        buf.put_slice(limited.filled());
+        Poll::Ready(Ok(()))
     }
 
     fn record_read(&self, poll: &Poll<io::Result<()>>) {
@@ -192,7 +220,12 @@
         cx: &mut Context<'_>,
         buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let poll = Pin::new(&mut self.io).poll_read(cx, buf);
+        let limit = ready!(self.poll_read_limit(cx))?;
+        let bytes_before = self.io.inner().bytes_read();
+        let poll = self.poll_read_up_to(cx, buf, limit);
+        if !self.timer.has_active_request() {
+            self.gate.record_head_bytes((self.io.inner().bytes_read() - bytes_before) as usize);
+        }
         self.record_read(&poll);
         poll
     }
--- a/agent/src/traffic/mod.rs
+++ b/agent/src/traffic/mod.rs
@@ -7,6 +7,7 @@
 pub mod body_deadline;
 pub mod connection_timer;
 pub mod errors;
+pub mod head_memory;
 pub mod lingering;
 pub mod memory_budget;
 pub mod request_body;
--- a/agent/src/traffic/socket.rs
+++ b/agent/src/traffic/socket.rs
@@ -107,6 +107,11 @@
         rustix::io::ioctl_fionread(&self.0.stream).ok()
     }
 
+    /// Writes as many of these bytes as the kernel takes at once. Errors are not reported.
+    pub fn write_now(&self, bytes: &[u8]) {
+        let _ = self.0.stream.try_write(bytes);
+    }
+
     /// How many bytes have been read.
     pub fn bytes_read(&self) -> u64 {
         self.0.bytes_read.get()
--- a/agent/tests/layers.rs
+++ b/agent/tests/layers.rs
@@ -5,7 +5,7 @@
 
 /// Each layer of `src`, the lowest first; a file may use what stands before its own layer, and its own folder's files
 /// that stand before it.
-const LAYERS: [&str; 93] = [
+const LAYERS: [&str; 94] = [
     "endpoint_list/entry",
     "endpoint_list/reader",
     "endpoint_list",
@@ -32,9 +32,10 @@
     "traffic/socket",
     "traffic/abort_queue",
     "traffic/lingering",
+    "traffic/memory_budget",
+    "traffic/head_memory",
     "traffic/body_deadline",
     "traffic/connection_timer",
-    "traffic/memory_budget",
     "traffic/request_body/last_byte",
     "traffic/request_body/progress",
     "traffic/request_body/reader",
