Clients that left: no attempt begins while a close may be hidden behind unread bytes

Cause: a close is noticed when the end of the stream arrives. The kernel takes 128 kB while nobody reads, and the rest stays at the client with the end behind it.

Evidence: with 100 kB nothing begins late, with 300 kB, 1 MB and 3 MB 7 of 30 do. Two new tests in client_disconnect failed before (an attempt began 503 ms after the close; a pipelined request was sent). Asking for the number of unread bytes alone left 110 of 132: after a read the kernel may go on taking nothing for a while.

Fix: PeerPresence holds when the client was last known to be there. A body that has arrived completely hides nothing.

--- a/agent/src/downstream/handler.rs
+++ b/agent/src/downstream/handler.rs
@@ -205,6 +205,7 @@
             is_retry: head.is_retry,
             request_id: head.request_id,
             arrived_at,
+            connection: socket.downgrade(),
             deadline: self.deadline(arrived_at, head.client_timeout),
             headers,
             method,
--- a/agent/src/driver/client_request.rs
+++ b/agent/src/driver/client_request.rs
@@ -3,6 +3,7 @@
 use crate::traffic::attempt_body::AttemptBody;
 use crate::traffic::memory_budget::MemoryReservation;
 use crate::traffic::request_body::RequestBodyStream;
+use crate::traffic::socket::WeakSocket;
 use balancer::{AffinityKey, ClassId, Span, TenantId};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -26,6 +27,8 @@
     pub request_id: String,
     /// When the request was complete or, if its body is streamed, when its head was.
     pub arrived_at: Instant,
+    /// The client's connection, which shows whether the client is still there.
+    pub connection: WeakSocket,
     /// The headers that are forwarded to a server.
     pub headers: HeaderMap,
     /// The body, buffered or streamed.
@@ -67,6 +70,13 @@
         }
     }
 
+    /// Whether the client may have left too long ago for an attempt to begin at `now`. If all of a body has arrived, a close
+    /// behind it has arrived too, and ends the request by itself.
+    pub fn client_may_have_left(&self, now: Instant) -> bool {
+        let has_body_arrived = self.streamed_body().is_some_and(|body| body.has_arrived());
+        !has_body_arrived && self.connection.peer_may_have_left(now)
+    }
+
     /// How long after `arrived_at` the response must have begun.
     pub fn response_timeout(&self) -> Duration {
         self.deadline.saturating_duration_since(self.arrived_at)
--- a/agent/src/driver/mod.rs
+++ b/agent/src/driver/mod.rs
@@ -294,6 +294,10 @@
         tokio::task::spawn_local(async move {
             let build_request = || {
                 let now = Instant::now();
+                if client_request.client_may_have_left(now) {
+                    driver.answer_now(id.request);
+                    return None;
+                }
                 driver.may_begin(id, now).then(|| timing.build_request(&client_request, now))
             };
             let timeout = timing.wait_for_timeout();
--- a/agent/src/traffic/arrival_watch.rs
+++ b/agent/src/traffic/arrival_watch.rs
@@ -9,8 +9,8 @@
 /// any time since the queue was last known to be empty.
 #[derive(Debug)]
 pub struct ArrivalWatch {
-    /// Whether the queue was found empty and a task waits for the next arrival.
-    is_watched: Cell<bool>,
+    /// Since when the queue has been empty and a task has waited for the next arrival; `None` if none waits.
+    waiting_since: Cell<Option<Instant>>,
     /// What the queue holds has not arrived before this time.
     not_before: Cell<Instant>,
 }
@@ -18,23 +18,25 @@
 impl ArrivalWatch {
     /// The watch of a queue in which nothing has arrived before `not_before`.
     pub fn new(not_before: Instant) -> Self {
-        ArrivalWatch { is_watched: Cell::new(false), not_before: Cell::new(not_before) }
+        ArrivalWatch { waiting_since: Cell::new(None), not_before: Cell::new(not_before) }
     }
 
-    /// Whether a task waits for the next arrival.
-    pub fn is_watched(&self) -> bool {
-        self.is_watched.get()
+    /// Since when the queue has been empty and a task has waited for the next arrival; `None` if none waits.
+    pub fn waiting_since(&self) -> Option<Instant> {
+        self.waiting_since.get()
     }
 
     /// Records that the queue is empty and that a task waits for the next arrival.
     pub fn record_waiting(&self) {
-        self.is_watched.set(true);
+        if self.waiting_since.get().is_none() {
+            self.waiting_since.set(Some(Instant::now()));
+        }
     }
 
     /// Records that something was taken from the queue at `now`, and whether the queue is empty after it. Returns the
     /// earliest time at which what was taken can have arrived.
     pub fn record_taken(&self, now: Instant, is_emptied: bool) -> Instant {
-        let was_watched = self.is_watched.replace(false);
+        let was_watched = self.waiting_since.take().is_some();
         let arrived_at = if was_watched { now } else { self.not_before.get() };
         if was_watched || is_emptied {
             self.not_before.set(now);
--- a/agent/src/traffic/head_memory.rs
+++ b/agent/src/traffic/head_memory.rs
@@ -17,7 +17,7 @@
 /// [`SMALL_HEAD_BYTES`] and [`MAX_SMALL_HEAD_FIELDS`].
 const CONNECTION_BYTES: usize = 20 << 10;
 /// A head is read up to this size without a reservation.
-const SMALL_HEAD_BYTES: usize = 4 << 10;
+pub const SMALL_HEAD_BYTES: usize = 4 << 10;
 /// A head with more fields needs a reservation: a parsed field takes some 140 bytes, however short it is.
 const MAX_SMALL_HEAD_FIELDS: usize = 32;
 /// The reservation of a larger head. The buffer into which it is read grows by doubling, and has up to twice the size of
--- a/agent/src/traffic/mod.rs
+++ b/agent/src/traffic/mod.rs
@@ -10,6 +10,7 @@
 pub mod head_memory;
 pub mod lingering;
 pub mod memory_budget;
+pub mod presence;
 pub mod request_body;
 pub mod response_body;
 pub mod socket;
--- a/agent/src/traffic/request_body.rs
+++ b/agent/src/traffic/request_body.rs
@@ -151,6 +151,11 @@
         }
     }
 
+    /// Whether the complete body has arrived, read or not.
+    pub fn has_arrived(&self) -> bool {
+        self.completed_at().is_some() || self.reader.borrow().has_arrived()
+    }
+
     /// Records that an attempt is about to be written. A client that waits for `100 Continue` gets it now, and has not
     /// sent anything before.
     pub fn record_attempt(&self) {
--- a/agent/src/traffic/request_body/last_byte.rs
+++ b/agent/src/traffic/request_body/last_byte.rs
@@ -47,6 +47,11 @@
         self.not_before
     }
 
+    /// How many bytes have arrived and have not been read; `None` if the system does not tell.
+    pub fn unread_bytes(&self) -> Option<u64> {
+        self.connection.unread_bytes()
+    }
+
     /// Records that the last byte has not been sent before `now`.
     pub fn record_incomplete(&mut self, now: Instant) {
         self.not_before = self.not_before.max(now);
--- a/agent/src/traffic/request_body/reader.rs
+++ b/agent/src/traffic/request_body/reader.rs
@@ -2,6 +2,7 @@
 
 use super::last_byte::{LastByteEstimate, Waiting};
 use crate::traffic::body_deadline::BodyDeadline;
+use crate::traffic::head_memory::SMALL_HEAD_BYTES;
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
 use std::future::Future;
@@ -107,6 +108,15 @@
         self.last_byte.next_observation(waiting)
     }
 
+    /// Whether the rest of the body has arrived, read or not. Up to [`SMALL_HEAD_BYTES`] of it may have been read with the head.
+    pub fn has_arrived(&self) -> bool {
+        let unread_bytes = self.last_byte.unread_bytes();
+        let remaining_bytes = self.body.size_hint().exact();
+        remaining_bytes
+            .zip(unread_bytes)
+            .is_some_and(|(remaining, unread)| remaining <= unread + SMALL_HEAD_BYTES as u64)
+    }
+
     /// Polls for the next chunk.
     pub fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Chunk> {
         if let Some(paused) = self.paused_since.take() {
--- a/agent/src/traffic/socket.rs
+++ b/agent/src/traffic/socket.rs
@@ -2,6 +2,7 @@
 //! peer's close, ask when its bytes arrived and close the connection without losing bytes.
 
 use crate::traffic::arrival_watch::ArrivalWatch;
+use crate::traffic::presence::PeerPresence;
 use crate::traffic::tcp_info::connection_ages;
 use socket2::SockRef;
 use std::cell::Cell;
@@ -9,7 +10,7 @@
 use std::net::Shutdown;
 use std::os::fd::AsFd;
 use std::pin::Pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
@@ -28,12 +29,29 @@
 #[derive(Clone)]
 pub struct Socket(Rc<Connection>);
 
+/// A reference to a connection that does not keep it open.
+pub struct WeakSocket(Weak<Connection>);
+
+impl WeakSocket {
+    /// As [`Socket::peer_may_have_left`], and true if the connection is closed.
+    pub fn peer_may_have_left(&self, now: Instant) -> bool {
+        self.upgrade().is_none_or(|socket| socket.peer_may_have_left(now))
+    }
+
+    /// The connection, unless it is closed.
+    fn upgrade(&self) -> Option<Socket> {
+        let WeakSocket(connection) = self;
+        connection.upgrade().map(Socket)
+    }
+}
+
 struct Connection {
     stream: TcpStream,
     established_at: Instant,
     /// How many bytes have been read from it.
     bytes_read: Cell<u64>,
     arrivals: ArrivalWatch,
+    presence: PeerPresence,
     /// The bytes that were read last had not arrived before this time.
     last_read_not_before: Cell<Instant>,
     /// Whether a task was waiting for the bytes that were read last.
@@ -67,11 +85,23 @@
             established_at,
             bytes_read: Cell::new(0),
             arrivals: ArrivalWatch::new(established_at),
+            presence: PeerPresence::new(established_at),
             last_read_not_before: Cell::new(established_at),
             was_last_read_awaited: Cell::new(false),
         }))
     }
 
+    /// Whether the peer may have closed the connection too long ago for anything to begin for it at `now`, although its close
+    /// has not arrived.
+    pub fn peer_may_have_left(&self, now: Instant) -> bool {
+        self.0.presence.may_have_left(now, self.unread_bytes(), self.0.arrivals.waiting_since())
+    }
+
+    /// A reference that does not keep the connection open.
+    pub fn downgrade(&self) -> WeakSocket {
+        WeakSocket(Rc::downgrade(&self.0))
+    }
+
     /// When the connection was established, which may be long before it was accepted.
     pub fn opened_at(&self) -> Instant {
         self.0.established_at
@@ -161,7 +191,7 @@
         loop {
             let Poll::Ready(ready) = connection.stream.poll_read_ready(cx) else {
                 // The runtime may not have been notified of bytes that have arrived.
-                if !connection.arrivals.is_watched() && !self.has_pending_input() {
+                if connection.arrivals.waiting_since().is_none() && !self.has_pending_input() {
                     connection.arrivals.record_waiting();
                 }
                 return Poll::Pending;
@@ -184,7 +214,9 @@
     /// Records that `bytes` bytes were read into a buffer that had space for `capacity`.
     fn record_read(&self, bytes: usize, capacity: usize) {
         self.bytes_read.set(self.bytes_read.get() + bytes as u64);
-        self.was_last_read_awaited.set(self.arrivals.is_watched());
+        let waiting_since = self.arrivals.waiting_since();
+        self.was_last_read_awaited.set(waiting_since.is_some());
+        self.presence.record_read(Instant::now(), waiting_since);
         let not_before = self.arrivals.record_taken(Instant::now(), bytes < capacity);
         self.last_read_not_before.set(not_before);
     }
--- a/agent/tests/client_disconnect.rs
+++ b/agent/tests/client_disconnect.rs
@@ -5,8 +5,8 @@
 use common::*;
 use serde_json::Value;
 use std::sync::Arc;
-use std::time::Duration;
-use tokio::io::AsyncWriteExt;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::Notify;
 
 /// Longer than any test, so that no request reaches its deadline.
@@ -256,3 +256,82 @@
         assert_eq!(backend.next().await.first_line(), "GET /read/next HTTP/1.1", "{way:?}");
     }
 }
+
+/// Nothing may begin later than this after a client's close, with the tolerance of sockets.
+const MAX_BEGIN_DELAY: Duration = Duration::from_millis(150);
+
+/// A server that accepts connections and reports when the first bytes of each come.
+async fn start_recording_server() -> (std::net::SocketAddr, tokio::sync::mpsc::UnboundedReceiver<Instant>) {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("failed to bind a port");
+    let address = listener.local_addr().expect("no local address");
+    let (sender, receiver) = tokio::sync::mpsc::unbounded_channel();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let sender = sender.clone();
+            tokio::spawn(async move {
+                let mut bytes = vec![0; 1 << 16];
+                if stream.read(&mut bytes).await.is_ok_and(|length| length > 0) {
+                    let _ = sender.send(Instant::now());
+                }
+                while stream.read(&mut bytes).await.is_ok_and(|length| length > 0) {}
+            });
+        }
+    });
+    (address, receiver)
+}
+
+/// Guards against an upload that is retried for a client which has left, as its close stood behind bytes that nobody read.
+/// The first server's connection is not established in time.
+#[tokio::test]
+async fn no_retry_is_sent_if_the_close_of_an_uploading_client_is_hidden_behind_unread_bytes() {
+    const BODY_BYTES: usize = 300_000;
+    for path in ["/pay", "/save"] {
+        let unreachable = FullBacklogListener::start().await;
+        let (server, mut begun) = start_recording_server().await;
+        let directory = Directory::start(Mood::Mute).await;
+        let hosts = [host("unreachable", unreachable.address, "up"), host("s", server, "up")];
+        let agent = Agent::start(directory.address, &hosts).await;
+        for number in 0..12 {
+            let mut client = agent.client().await;
+            let head = request("POST", path, "2000m", "").replace("id1", &format!("upload-{number}"));
+            client.send(&head.replace("Length: 0", &format!("Length: {BODY_BYTES}"))).await;
+            client.stream.write_all(&vec![b'x'; BODY_BYTES]).await.expect("failed to write");
+        }
+        let closed_at = Instant::now();
+        // The connection timeout is 500 ms, and any retry follows it.
+        tokio::time::sleep(Duration::from_millis(1500)).await;
+        while let Ok(begun_at) = begun.try_recv() {
+            let delay = begun_at.saturating_duration_since(closed_at);
+            assert!(delay <= MAX_BEGIN_DELAY, "{path}: an attempt began {delay:?} after the close");
+        }
+    }
+}
+
+/// Guards against requests that are sent on one after another for a client which has left, as its close stood behind
+/// further requests that nobody had read.
+#[tokio::test]
+async fn no_pipelined_request_is_sent_if_the_close_is_hidden_behind_unread_requests() {
+    const REQUESTS: usize = 3000;
+    for (method, path) in [("GET", "/read"), ("POST", "/pay"), ("POST", "/save")] {
+        let answer_signal = std::sync::Arc::new(tokio::sync::Notify::new());
+        let script_signal = answer_signal.clone();
+        let mut backend = Backend::start(move |_| Reply::When(script_signal.clone(), ok("x"))).await;
+        let (_directory, agent) =
+            start_agent(&[host("s", backend.address, "up")], LONG_LATENCY_OBJECTIVE_MS).await;
+        let mut client = agent.client().await;
+        let requests: String = (0..REQUESTS)
+            .map(|number| request(method, path, "5000m", "").replace("id1", &format!("pipelined-{number}")))
+            .collect();
+        client.send(&requests).await;
+        client.stream.shutdown().await.expect("failed to end the stream");
+        backend.next().await;
+        tokio::time::sleep(MAX_BEGIN_DELAY).await;
+        while backend.seen.try_recv().is_ok() {}
+        // The responses that are owed come now, so that the next requests are handled.
+        for _ in 0..20 {
+            answer_signal.notify_one();
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        assert!(backend.seen.try_recv().is_err(), "{path}: sent after its client had left");
+    }
+}
