Requests: one whose client leaves before it is read completely has its line in the log

Cause: the agent notices the client's close by two ways. If the close of the connection is noticed before the error of the body, the request ended without a line. Operators could not tell what became of it.

Fix: the wait for the close is part of reading the request, and ends it as an invalid request with its id and a reason.

--- a/agent/src/downstream/errors.rs
+++ b/agent/src/downstream/errors.rs
@@ -34,6 +34,9 @@
     /// The body cannot be read.
     #[error(transparent)]
     Body(#[from] BodyError),
+    /// The client has closed its connection before its request was read completely.
+    #[error("the client has left")]
+    ClientLeft,
     /// There is no memory for the head.
     #[error(transparent)]
     Head(#[from] NoHeadMemory),
@@ -52,6 +55,7 @@
             RequestError::Body(BodyError::TooLong) => StatusCode::PAYLOAD_TOO_LARGE,
             RequestError::Body(BodyError::TimedOut) => StatusCode::REQUEST_TIMEOUT,
             RequestError::ClassMismatch
+            | RequestError::ClientLeft
             | RequestError::MissingRequestId
             | RequestError::UnknownTenant
             | RequestError::InvalidTimeout
--- a/agent/src/downstream/handler.rs
+++ b/agent/src/downstream/handler.rs
@@ -138,7 +138,12 @@
             return self.readiness_response();
         }
         let request_id = request.headers().get("x-request-id").cloned();
-        match self.read_request(request, timing, socket).await {
+        let read = tokio::select! {
+            biased;
+            read = self.read_request(request, timing, socket) => read,
+            () = socket.wait_for_peer_close() => Err(RequestError::ClientLeft),
+        };
+        match read {
             Ok(client_request) => self.wait_for_answer(client_request).await,
             Err(error) => {
                 let request_id = request_id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default();
