Clients that left: a request that may run once and comes again fails without an attempt

Cause: a request is forgotten when its client leaves, while its attempt goes on; the balancer knows requests by its own numbers, so the same id was a new request.

Evidence: one attempt for each request in the agent's counts, so no retry of its own. The new test in client_disconnect failed before: the second request reached the renderer.

One that comes again and is not idempotent fails without an attempt; a refusal would say that trying again is harmless.

Open: at the other process of an upgrade it still runs twice.

--- a/adapter/src/instance.rs
+++ b/adapter/src/instance.rs
@@ -61,6 +61,7 @@
             is_retry: request.has_flag(ClientRequest::IS_RETRY),
             time_left: Span::from_ms(request.time_left_ms),
             waited: Span::ZERO,
+            client_key: None,
             uploading: false,
         }))
     }
--- a/agent/src/driver/mod.rs
+++ b/agent/src/driver/mod.rs
@@ -27,10 +27,10 @@
 pub use attempts::RESPONSE_DELIVERY_TURNS;
 use attempts::{AttemptId, AttemptTiming};
 use balancer::{
-    Action, Balancer, EndpointUpdate, Event, Idempotency, RequestId, ServerId, SettingsError, Snapshot, Span,
-    Time, ZoneId,
+    Action, Balancer, ClientRequestKey, EndpointUpdate, Event, Idempotency, RequestId, ServerId,
+    SettingsError, Snapshot, Span, Time, ZoneId,
 };
-use balancer_settings::Names;
+use balancer_settings::{fnv1a, Names};
 use client_request::ClientRequest;
 use clock::{Clock, WallClock};
 use endpoint_updates::{apply_discovery_event, forget_removed_servers};
@@ -224,6 +224,7 @@
             class: client_request.class,
             tenant: client_request.tenant,
             affinity_key: client_request.affinity_key,
+            client_key: Some(ClientRequestKey(fnv1a(&client_request.request_id))),
             cost_hint: client_request.cost_hint,
             is_retry: client_request.is_retry,
             time_left: Span(client_request.deadline.saturating_duration_since(now).as_micros() as u64),
--- a/agent/tests/client_disconnect.rs
+++ b/agent/tests/client_disconnect.rs
@@ -335,3 +335,25 @@
         assert!(backend.seen.try_recv().is_err(), "{path}: sent after its client had left");
     }
 }
+
+/// Guards against a request that runs twice, as it comes again after its client has left: the first attempt may still run.
+#[tokio::test]
+async fn a_request_that_comes_again_after_its_client_left_runs_once() {
+    for path in ["/pay", "/save"] {
+        let mut backend = Backend::start(|_| Reply::Mute).await;
+        let (_directory, mut agent) =
+            start_agent(&[host("s", backend.address, "up")], LONG_LATENCY_OBJECTIVE_MS).await;
+        let message = request("POST", path, CLIENT_TIMEOUT, "x");
+        let mut leaving = agent.client().await;
+        leaving.send(&message).await;
+        backend.next().await;
+        drop(leaving);
+        agent.wait_for_log("id1").await;
+        // A refusal would tell the client that trying again is harmless.
+        assert_eq!(agent.client().await.ask(&message).await.status(), 502, "{path}");
+        let other = message.replace("id1", "id2");
+        let mut client = agent.client().await;
+        client.send(&other).await;
+        assert_eq!(backend.next().await.header("x-request-id"), Some("id2"), "{path}: ran twice");
+    }
+}
--- a/agent/tests/upgrade.rs
+++ b/agent/tests/upgrade.rs
@@ -118,3 +118,30 @@
     assert!(line.contains("learned") && line.contains("classes read save pay, not for"), "{line}");
     assert_eq!(turned.counters().await["cluster_unhealthy"], 1, "the same renderer is still cordoned");
 }
+
+/// Guards against a request that runs twice, as its client leaves the old process and it comes again at the new one.
+#[tokio::test]
+async fn a_request_that_comes_again_at_the_other_process_runs_once() {
+    let mut backend = Backend::start(|_| Reply::Mute).await;
+    let directory = Directory::start(Mood::Mute).await;
+    let hosts = [host("s", backend.address, "up")];
+    let platform = Platform::new("again");
+    let mut old = platform.process(&directory, &hosts).await;
+    healthy(&old).await;
+    let message = request("POST", "/pay", "2000m", "x");
+    let mut leaving = old.client().await;
+    leaving.send(&message).await;
+    backend.next().await;
+    let new = platform.process(&directory, &hosts).await;
+    healthy(&new).await;
+    old.send_sigterm().await;
+    soon("the old process's no", async { while old.admin_call("health").await == "done\n" {} }).await;
+    drop(leaving);
+    old.wait_for_log("id1").await;
+    // The platform's socket is the new process's alone now.
+    let mut again = old.client().await;
+    again.send(&message).await;
+    let mut other = old.client().await;
+    other.send(&message.replace("id1", "id2")).await;
+    assert_eq!(backend.next().await.header("x-request-id"), Some("id2"), "ran twice");
+}
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -9,6 +9,7 @@
 mod servers;
 mod views;
 
+use crate::abandoned::AbandonedRequests;
 use crate::admission::{
     has_queue_capacity, is_too_late, is_too_late_to_queue, retry_after, Admission, Assessment, TimeLimits,
 };
@@ -18,7 +19,8 @@
 use crate::retries::{AttemptHistory, PermittedActions, RetryBudget, RetryScope};
 use crate::selection::{LoadQueries, Selection};
 use crate::{
-    Action, AttemptNo, Class, Event, Report, Request, RequestId, Settings, SettingsError, Span, Time, TimerId,
+    Action, AttemptNo, Class, Event, Idempotency, Report, Request, RequestId, Settings, SettingsError, Span,
+    Time, TimerId,
 };
 use std::sync::Arc;
 
@@ -35,6 +37,7 @@
     rng: fastrand::Rng,
     pub(crate) fleet: Fleet,
     pub(crate) pending: Pending,
+    abandoned: AbandonedRequests,
     admission: Admission,
     retry_budget: RetryBudget,
     pub(crate) selection: Selection,
@@ -52,6 +55,7 @@
             rng: fastrand::Rng::with_seed(seed),
             fleet: Fleet::new(Arc::clone(&settings)),
             pending: Pending::default(),
+            abandoned: AbandonedRequests::default(),
             admission: Admission::new(&settings),
             retry_budget: RetryBudget::new(),
             selection: Selection::new(Arc::clone(&settings)),
@@ -100,9 +104,7 @@
                 }
             }
             Event::ResponseAborted { server } => self.handle_aborted_response(now, server, actions),
-            Event::ClientDisconnected { request } => {
-                self.pending.remove(request);
-            }
+            Event::ClientDisconnected { request } => self.abandon(now, request),
             Event::Timer(TICK_TIMER) => self.tick(now, actions),
             Event::Timer(LOAD_QUERY_TIMER) => self.finish_load_queries(now, actions),
             Event::Timer(_) => {}
@@ -139,6 +141,10 @@
             actions.push(Action::Reject { request: id, retry_after: None });
             return;
         }
+        if self.is_repetition(now, &request) {
+            actions.push(Action::Fail { request: id });
+            return;
+        }
         let Assessment { limits, is_over_share } =
             self.admission.assess(now, &request, &self.settings, &mut self.rng);
         let pending = PendingRequest { request, limits, is_over_share, history: AttemptHistory::default() };
@@ -156,6 +162,21 @@
         }
     }
 
+    /// Ends a request whose client has left. If a server may have executed it, it must not be executed again. An attempt in
+    /// flight counts as executed, as its outcome may come after the request does.
+    fn abandon(&mut self, now: Time, id: RequestId) {
+        let Some(pending) = self.pending.remove(id) else { return };
+        if let Some(key) = pending.request.client_key.filter(|_| pending.history.may_have_executed()) {
+            self.abandoned.record(now, key);
+        }
+    }
+
+    /// Whether a request has come before, its client left, and it may be executed only once.
+    fn is_repetition(&mut self, now: Time, request: &Request) -> bool {
+        let is_idempotent = self.class(request).idempotency == Idempotency::Idempotent;
+        !is_idempotent && request.client_key.is_some_and(|key| self.abandoned.contains(now, key))
+    }
+
     /// Whether operators hold back every server that could serve a request, or its response would come too late to
     /// count.
     fn is_unservable(&self, now: Time, pending: &PendingRequest) -> bool {
--- a/src/event.rs
+++ b/src/event.rs
@@ -1,8 +1,8 @@
 //! The events that the host passes to a balancer.
 
 use crate::{
-    AffinityKey, AttemptNo, ClassId, EndpointUpdate, PeerId, RequestId, ServerId, Snapshot, Span, TenantId,
-    Time, TimerId, ZoneId,
+    AffinityKey, AttemptNo, ClassId, ClientRequestKey, EndpointUpdate, PeerId, RequestId, ServerId, Snapshot,
+    Span, TenantId, Time, TimerId, ZoneId,
 };
 use std::collections::BTreeMap;
 
@@ -17,6 +17,8 @@
     pub tenant: Option<TenantId>,
     /// The affinity key; `None` if it has no preferred server.
     pub affinity_key: Option<AffinityKey>,
+    /// What identifies it to its client; `None` if the host does not tell.
+    pub client_key: Option<ClientRequestKey>,
     /// The client's estimate of the CPU time that the request needs on one core.
     pub cost_hint: Option<Span>,
     /// The client has marked the request as a retry.
@@ -39,6 +41,7 @@
             class,
             tenant: None,
             affinity_key: None,
+            client_key: None,
             cost_hint: None,
             is_retry: false,
             time_left,
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -25,6 +25,8 @@
     CellId(u32),
     /// An affinity key: requests for the same object carry the same key.
     AffinityKey(u64),
+    /// What identifies a request to its client: the same request keeps it if it comes again.
+    ClientRequestKey(u64),
     /// An attempt, numbered from 0 within its request.
     AttemptNo(u32),
     /// A timer that the balancer has set with [`crate::Action::SetTimer`].
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 //! balancer.handle(now, Event::Request(request), &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { request: RequestId(1), .. })));
 //! ```
+mod abandoned;
 mod action;
 mod admission;
 mod balancer;
--- a/src/retries.rs
+++ b/src/retries.rs
@@ -110,6 +110,11 @@
         self.is_body_consumed = true;
     }
 
+    /// Whether any attempt may have been executed, or may yet be.
+    pub(crate) fn may_have_executed(&self) -> bool {
+        first_possibly_executed(&self.attempts).is_some()
+    }
+
     /// Whether any attempt is in flight.
     pub(crate) fn is_in_flight(&self) -> bool {
         self.attempts.iter().any(|attempt| attempt.state == ExecutionState::InFlight)
