Clients that left: a request whose attempt was not written completely may come again

Cause: the balancer knows that an attempt is in flight, and not whether its last byte was written; the agent knows.

Fix: the agent tells the balancer before it reports the disconnect (Event::AttemptsUnwritten), as it does when an answer is due.

--- a/agent/src/driver/mod.rs
+++ b/agent/src/driver/mod.rs
@@ -264,8 +264,12 @@
     /// Completely written attempts continue, and their outcomes still count. The others are cancelled without writing
     /// more.
     pub fn abandon(self: &Rc<Self>, id: RequestId) {
+        let may_have_executed = self.state.borrow().requests.may_have_executed(id);
         let was_pending = self.state.borrow_mut().requests.abandon(id, &self.names);
         if was_pending {
+            if !may_have_executed {
+                self.handle(Event::AttemptsUnwritten { request: id });
+            }
             self.handle(Event::ClientDisconnected { request: id });
         }
     }
--- a/agent/src/driver/requests.rs
+++ b/agent/src/driver/requests.rs
@@ -169,7 +169,13 @@
     pub fn begin_overdue_answer(&mut self, id: RequestId) -> bool {
         let Some(pending) = self.pending.get_mut(&id) else { return false };
         pending.last_attempt_timed_out = true;
-        self.attempts.may_have_executed(id, pending.metrics.attempts)
+        self.may_have_executed(id)
+    }
+
+    /// Whether an attempt in flight of a pending request is completely written.
+    pub fn may_have_executed(&self, id: RequestId) -> bool {
+        let pending = self.pending.get(&id);
+        pending.is_some_and(|pending| self.attempts.may_have_executed(id, pending.metrics.attempts))
     }
 
     /// Ends a request without a final response, and returns whether it was still pending.
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -104,6 +104,11 @@
                 }
             }
             Event::ResponseAborted { server } => self.handle_aborted_response(now, server, actions),
+            Event::AttemptsUnwritten { request } => {
+                if let Some(pending) = self.pending.get_mut(request) {
+                    pending.history.record_unwritten();
+                }
+            }
             Event::ClientDisconnected { request } => self.abandon(now, request),
             Event::Timer(TICK_TIMER) => self.tick(now, actions),
             Event::Timer(LOAD_QUERY_TIMER) => self.finish_load_queries(now, actions),
@@ -163,7 +168,7 @@
     }
 
     /// Ends a request whose client has left. If a server may have executed it, it must not be executed again. An attempt in
-    /// flight counts as executed, as its outcome may come after the request does.
+    /// flight counts as executed unless it is known to be unwritten, as its outcome may come after the request does.
     fn abandon(&mut self, now: Time, id: RequestId) {
         let Some(pending) = self.pending.remove(id) else { return };
         if let Some(key) = pending.request.client_key.filter(|_| pending.history.may_have_executed()) {
--- a/src/event.rs
+++ b/src/event.rs
@@ -148,6 +148,11 @@
         /// The server that sent the response.
         server: ServerId,
     },
+    /// No attempt of a request that is in flight has been written completely, and none will be: no server executes one.
+    AttemptsUnwritten {
+        /// The request of the attempts.
+        request: RequestId,
+    },
     /// The client has disconnected or has cancelled the request; it needs no answer any more.
     ClientDisconnected {
         /// The request that the client gave up.
