--- a/agent/tests/common/mod.rs
+++ b/agent/tests/common/mod.rs
@@ -55,6 +55,13 @@
     command
 }
 
+/// The memory of a process without that of files, in kB.
+pub fn anonymous_memory_kb(pid: u32) -> Option<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"))?;
+    line.trim().strip_suffix(" kB")?.parse().ok()
+}
+
 /// A listener with a full backlog: a connection attempt stays pending until [`Self::accept_pending`].
 pub struct FullBacklogListener {
     pub address: SocketAddr,
--- a/agent/tests/fairness.rs
+++ b/agent/tests/fairness.rs
@@ -59,13 +59,6 @@
     }
 }
 
-fn anonymous_memory_kb(agent: &Agent) -> u64 {
-    let pid = agent.child.id().expect("the agent has ended");
-    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("failed to read the status");
-    let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:")).expect("no RssAnon");
-    line.trim().strip_suffix(" kB").and_then(|text| text.parse().ok()).expect("not a number of kB")
-}
-
 /// Sends one request after another, each over a new connection, and returns how long the slowest response took.
 async fn slowest_response(address: SocketAddr, client: usize) -> Duration {
     let (started_at, mut slowest) = (Instant::now(), Duration::ZERO);
@@ -95,13 +88,15 @@
         floods.spawn(requests.flood(agent.address));
     }
     sleep(Duration::from_secs(1)).await;
-    let memory_before = anonymous_memory_kb(&agent);
+    let pid = agent.child.id().expect("the agent has ended");
+    let memory_before = anonymous_memory_kb(pid).expect("the agent has ended");
     let mut others = JoinSet::new();
     for client in 0..OTHER_CLIENTS {
         others.spawn(slowest_response(agent.address, client));
     }
     let slowest = others.join_all().await.into_iter().max().expect("there are clients");
-    let growth = anonymous_memory_kb(&agent).saturating_sub(memory_before);
+    let memory_after = anonymous_memory_kb(pid).expect("the agent has ended");
+    let growth = memory_after.saturating_sub(memory_before);
     println!("{flooding_clients} clients, {requests:?}: {slowest:?} at most, {growth} kB more");
     assert!(slowest <= OTHER_TIMEOUT + MAX_LATENESS, "{requests:?}: a response took {slowest:?}");
     assert!(growth <= MAX_MEMORY_GROWTH_KB, "{requests:?}: the memory grew by {growth} kB");
--- a/agent/tests/memory.rs
+++ b/agent/tests/memory.rs
@@ -31,13 +31,6 @@
 const SLOW_BYTES_PER_SECOND: usize = 64_000;
 const SLOW_INTERVAL: Duration = Duration::from_millis(100);
 
-/// The memory of a process without that of files, in kB.
-fn anonymous_memory_kb(pid: u32) -> Option<u64> {
-    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
-    let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"))?;
-    line.trim().strip_suffix(" kB")?.parse().ok()
-}
-
 /// The highest memory of a process until `is_over`, in kB.
 async fn peak_memory_kb(pid: u32, is_over: Arc<AtomicBool>) -> u64 {
     let mut peak = 0;
